--- /dev/null
+++ b/nutmegarch/policy/crash_registry.cpp
@@ -0,0 +1,55 @@
+#include "nutmegarch/policy/crash_registry.h"
+
+namespace nutmegarch::policy {
+
+void crash_registry::on_crash(std::uint64_t fingerprint, time_point now) {
+  set(fingerprint, crashes(fingerprint, now) + 1, now);
+}
+
+void crash_registry::on_success(std::uint64_t fingerprint) {
+  auto found = entries_.find(fingerprint);
+  if (found != entries_.end()) {
+    order_.erase(found->second.place);
+    entries_.erase(found);
+  }
+}
+
+bool crash_registry::merge(const crash_mark& mark, time_point now) {
+  if (mark.crashes <= crashes(mark.fingerprint, now)) {
+    return false;
+  }
+  set(mark.fingerprint, mark.crashes, now);
+  return true;
+}
+
+int crash_registry::crashes(std::uint64_t fingerprint, time_point now) const {
+  auto found = entries_.find(fingerprint);
+  return found == entries_.end() || now >= found->second.expires ? 0 : found->second.crashes;
+}
+
+std::vector<crash_mark> crash_registry::marks(time_point now) const {
+  std::vector<crash_mark> all;
+  for (const std::pair<const std::uint64_t, entry>& known : entries_) {
+    if (now < known.second.expires) {
+      all.push_back({known.first, known.second.crashes});
+    }
+  }
+  return all;
+}
+
+void crash_registry::set(std::uint64_t fingerprint, int crashes, time_point now) {
+  auto found = entries_.find(fingerprint);
+  if (found == entries_.end()) {
+    if (entries_.size() >= settings_.capacity) {
+      entries_.erase(order_.front());
+      order_.pop_front();
+    }
+    found = entries_.emplace(fingerprint, entry{}).first;
+  } else {
+    order_.erase(found->second.place);
+  }
+  order_.push_back(fingerprint);
+  found->second = {crashes, now + settings_.lifetime, std::prev(order_.end())};
+}
+
+}  // namespace nutmegarch::policy
--- /dev/null
+++ b/nutmegarch/policy/crash_registry.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+#include <vector>
+
+#include "nutmegarch/core/time.h"
+
+namespace nutmegarch::policy {
+
+/// Settings of crash_registry.
+struct crash_settings {
+  /// Targets that may crash before a fingerprint is refused.
+  int most_crashes = 2;
+  /// How long a fingerprint is remembered after its last crash.
+  duration lifetime = std::chrono::minutes(10);
+  /// Most fingerprints that are remembered; the oldest goes first.
+  std::size_t capacity = 1024;
+};
+
+/// One fingerprint with its crashes, as peers tell each other.
+struct crash_mark {
+  std::uint64_t fingerprint = 0;
+  int crashes = 0;
+};
+
+/// Requests that were running when a target crashed. No I/O; not thread-safe.
+class crash_registry {
+ public:
+  explicit crash_registry(const crash_settings& settings) : settings_(settings) {}
+
+  /// A target crashed while it ran the request.
+  void on_crash(std::uint64_t fingerprint, time_point now);
+
+  /// A target ran the request to its end: it is not what crashes targets.
+  void on_success(std::uint64_t fingerprint);
+
+  /// Takes over what a peer or a call's context tells; the larger count stands. True when that was news.
+  bool merge(const crash_mark& mark, time_point now);
+
+  /// Crashes known for the request.
+  int crashes(std::uint64_t fingerprint, time_point now) const;
+
+  /// True when the request must not run any more.
+  bool refused(std::uint64_t fingerprint, time_point now) const {
+    return crashes(fingerprint, now) >= settings_.most_crashes;
+  }
+
+  /// All that is known, for peers.
+  std::vector<crash_mark> marks(time_point now) const;
+
+ private:
+  struct entry {
+    int crashes = 0;
+    time_point expires{};
+    std::list<std::uint64_t>::iterator place;
+  };
+
+  void set(std::uint64_t fingerprint, int crashes, time_point now);
+
+  crash_settings settings_;
+  std::unordered_map<std::uint64_t, entry> entries_;
+  /// Fingerprints, the one with the oldest crash first.
+  std::list<std::uint64_t> order_;
+};
+
+}  // namespace nutmegarch::policy
--- /dev/null
+++ b/nutmegarch/policy/level_controller.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <array>
+
+#include "nutmegarch/core/call.h"
+
+namespace nutmegarch::policy {
+
+/// Settings of level_controller.
+struct level_settings {
+  /// Time between two changes of the level.
+  duration interval = std::chrono::milliseconds(50);
+  /// Share of the admitted calls that one step sheds.
+  double decrease = 0.05;
+  /// Share of the admitted calls that one step adds.
+  double increase = 0.1;
+  /// Most positions (a class has shed_rank_count) by which one step moves.
+  int largest_step = 8;
+};
+
+/// Finds the admission level of one target by what was offered in the last interval.
+/// Steps the level down while calls keep waiting and up while nothing waits.
+class level_controller {
+ public:
+  explicit level_controller(const level_settings& settings) : settings_(settings) {}
+
+  /// A call was offered, whether it was admitted or not.
+  void on_offer(call_class cls, std::uint8_t shed_rank);
+
+  /// Tells how many calls wait, and from which number on that is a standing queue.
+  /// Call it after each change; the least value of an interval counts.
+  void on_waiting(int waiting, int standing);
+
+  /// Steps the level when an interval is over. True when the level changed.
+  bool on_time(time_point now);
+
+  admission_level level() const { return level_; }
+
+ private:
+  void step_down();
+  void step_up();
+
+  static constexpr int position_count = call_class_count * shed_rank_count;
+
+  level_settings settings_;
+  admission_level level_;
+  std::array<int, position_count> offered_{};
+  bool always_standing_ = false;
+  bool was_empty_ = true;
+  time_point interval_end_{};
+};
+
+}  // namespace nutmegarch::policy
--- /dev/null
+++ b/nutmegarch/policy/outbound_call.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <vector>
+
+#include "nutmegarch/policy/endpoint.h"
+#include "nutmegarch/policy/retry_budget.h"
+
+namespace nutmegarch::policy {
+
+/// One try to have an outbound call answered by one endpoint.
+struct attempt {
+  endpoint_ptr to;
+  time_point sent{};
+  /// Retry tokens that went with it.
+  std::uint16_t tokens_given = 0;
+  bool open = true;
+  bool is_hedge = false;
+};
+
+/// One call that this node makes for an outside caller or for its target, over all its attempts.
+struct outbound_call : boost::intrusive_ref_counter<outbound_call, boost::thread_safe_counter> {
+  /// Key of the call at the adapter; unique in one node.
+  std::uint64_t key = 0;
+  call_context context;
+  time_point deadline = never;
+  /// Size of the request in bytes, for the link's budget.
+  std::size_t size = 0;
+  /// The ledger that pays for extra attempts. Set by the adapter for the child of an inbound call.
+  retry_ledger_ptr ledger;
+  bool may_hedge = true;
+
+  /// @name Kept by the sender
+  /// @{
+  std::vector<attempt> attempts;
+  time_point started{};
+  /// An attempt ended without an answer, so the call may have run.
+  bool may_have_run = false;
+  bool done = false;
+  bool hedged = false;
+  call_reason last_refusal = call_reason::none;
+  /// @}
+};
+
+using outbound_call_ptr = boost::intrusive_ptr<outbound_call>;
+
+}  // namespace nutmegarch::policy
--- /dev/null
+++ b/nutmegarch/policy/sender.cpp
@@ -0,0 +1,449 @@
+#include "nutmegarch/policy/sender.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace nutmegarch::policy {
+
+namespace {
+
+/// Most routes of one service whose latencies and levels are kept.
+constexpr std::size_t most_routes = 256;
+/// Hedge delay before the first answers.
+constexpr duration assumed_latency = std::chrono::milliseconds(200);
+
+bool was_tried(const outbound_call& call, const endpoint& candidate) {
+  return std::any_of(call.attempts.begin(), call.attempts.end(),
+                     [&](const attempt& tried) { return tried.to.get() == &candidate; });
+}
+
+bool has_open_attempt(const outbound_call& call) {
+  return std::any_of(call.attempts.begin(), call.attempts.end(),
+                     [](const attempt& tried) { return tried.open; });
+}
+
+}  // namespace
+
+sender::service_state::service_state(const sender_settings& settings)
+    : choice(make_routing_choice(settings.pass_through ? routing_kind::round_robin : settings.routing,
+                                 settings.score)),
+      retries(settings.retries),
+      hedges(settings.hedges) {}
+
+sender::sender(const sender_settings& settings, random_source& random)
+    : settings_(settings), random_(random), link_(settings.link) {}
+
+void sender::set_endpoints(const std::string& service, std::vector<endpoint_ptr> endpoints) {
+  state_of(service).endpoints = std::move(endpoints);
+}
+
+const std::vector<endpoint_ptr>* sender::endpoints(const std::string& service) const {
+  auto found = services_.find(service);
+  return found == services_.end() ? nullptr : &found->second.endpoints;
+}
+
+void sender::forget_reports() {
+  for (std::pair<const std::string, service_state>& entry : services_) {
+    entry.second.route_levels.clear();
+    for (const endpoint_ptr& known : entry.second.endpoints) {
+      known->level_expires = time_point{};
+      known->carried_at = time_point{};
+      known->ejected_until = time_point{};
+      known->consecutive_losses = 0;
+    }
+  }
+}
+
+void sender::start(const outbound_call_ptr& call, time_point now, sender_actions& actions) {
+  call->started = now;
+  if (!call->ledger) {
+    call->ledger = retry_ledger_ptr(new retry_ledger(settings_.retry_budget));
+  }
+
+  // A call below an attempt that may have run before is itself an extra attempt.
+  const bool repeated = call->context.repeated && !settings_.pass_through;
+  if (repeated && !call->ledger->withdraw()) {
+    complete(call, call_outcome::not_run, call_reason::retry_budget, 0, now, actions);
+    return;
+  }
+  if (now >= call->deadline) {
+    complete(call, call_outcome::not_run, call_reason::deadline, 0, now, actions);
+    return;
+  }
+
+  service_state& service = state_of(call->context.service);
+  const selection selected = select(service, *call, now);
+  if (selected.chosen == nullptr) {
+    // A ticket may be under way by another path, so only its home can promise that it will not run.
+    const call_outcome outcome = call->context.ticket ? call_outcome::unknown : call_outcome::not_run;
+    complete(call, outcome, selected.reason, 0, now, actions);
+    return;
+  }
+  send(call, *selected.chosen, call->context.repeated, false, now, actions);
+
+  // Watch the deadline, and the moment at which a hedge may help.
+  if (call->deadline != never) {
+    timers_.push({call->deadline, call, true});
+  }
+  if (call->may_hedge && call->context.idempotent && !settings_.pass_through) {
+    timers_.push({now + hedge_delay(service, call->context.route), call, false});
+  }
+}
+
+void sender::on_answer(const outbound_call_ptr& call, std::size_t index, const attempt_answer& answer,
+                       time_point now, sender_actions& actions) {
+  attempt& answered = call->attempts.at(index);
+  if (!answered.open) {
+    return;
+  }
+  close(answered);
+  call->ledger->put_back(answer.tokens_back, answered.tokens_given);
+
+  // Learn from the answer, also when it comes too late for the caller.
+  service_state& service = state_of(call->context.service);
+  if (answer.report) {
+    note_report(service, *answered.to, call->context.route, answer, now);
+  } else {
+    note_loss(service, *answered.to, now);
+  }
+  if (answer.outcome == call_outcome::ok) {
+    auto latency = service.latencies.find(call->context.route);
+    if (latency == service.latencies.end() && service.latencies.size() < most_routes) {
+      latency = service.latencies.emplace(call->context.route, latency_tracker()).first;
+    }
+    if (latency != service.latencies.end()) {
+      latency->second.add(now - answered.sent);
+    }
+    service.retries.on_success();
+    service.hedges.on_success();
+  }
+  if (call->done) {
+    return;
+  }
+
+  // Pass on what the target itself said; otherwise try again or tell what is known.
+  if (answer.outcome == call_outcome::ok || answer.outcome == call_outcome::failed) {
+    complete(call, answer.outcome, answer.reason, index, now, actions);
+    return;
+  }
+  call->may_have_run = call->may_have_run || answer.outcome == call_outcome::unknown;
+  call->last_refusal = answer.reason;
+  retry_or_complete(call, answer.outcome, now, actions);
+}
+
+void sender::cancel(const outbound_call_ptr& call, time_point now, sender_actions& actions) {
+  if (!call->done) {
+    const bool ran = call->may_have_run || has_open_attempt(*call);
+    complete(call, ran ? call_outcome::unknown : call_outcome::not_run, call_reason::cancelled, 0, now,
+             actions);
+  }
+}
+
+void sender::on_time(time_point now, sender_actions& actions) {
+  while (!timers_.empty() && timers_.top().at <= now) {
+    const timer due = timers_.top();
+    timers_.pop();
+    if (due.call->done) {
+      continue;
+    }
+    if (!due.is_deadline) {
+      hedge(due.call, now, actions);
+      continue;
+    }
+    const bool ran = due.call->may_have_run || has_open_attempt(*due.call);
+    complete(due.call, ran ? call_outcome::unknown : call_outcome::not_run, call_reason::deadline, 0, now,
+             actions);
+  }
+}
+
+endpoint_ptr sender::choose_ticket_home(const call_context& order, time_point now) {
+  outbound_call question;
+  question.context = order;
+  question.context.ticket.reset();
+  return select(state_of(order.service), question, now).chosen;
+}
+
+time_point sender::next_timer() const { return timers_.empty() ? never : timers_.top().at; }
+
+admission_level sender::level_of(const std::string& service, const std::string& route, time_point now) const {
+  auto found = services_.find(service);
+  if (found == services_.end() || found->second.endpoints.empty()) {
+    return level_admits_all;
+  }
+
+  // Of the endpoints, the most generous counts, since a call goes to one that takes it.
+  admission_level best{0};
+  for (const endpoint_ptr& known : found->second.endpoints) {
+    const admission_level level = now < known->level_expires ? known->level : level_admits_all;
+    best.cutoff = std::max(best.cutoff, level.cutoff);
+  }
+
+  // What lies below them counts for all.
+  auto below = found->second.route_levels.find(route);
+  if (below != found->second.route_levels.end() && now < below->second.expires) {
+    best.cutoff = std::min(best.cutoff, below->second.level.cutoff);
+  }
+  return best;
+}
+
+sender::service_state& sender::state_of(const std::string& service) {
+  auto found = services_.find(service);
+  if (found == services_.end()) {
+    found = services_.emplace(service, service_state(settings_)).first;
+  }
+  return found->second;
+}
+
+sender::selection sender::select(service_state& service, const outbound_call& call, time_point now) {
+  if (call.context.ticket && !settings_.pass_through) {
+    return select_ticket_home(service, call);
+  }
+
+  // The baseline knows only who is published as live.
+  std::vector<endpoint*> near;
+  std::vector<endpoint*> far;
+  if (settings_.pass_through) {
+    for (const endpoint_ptr& known : service.endpoints) {
+      if (!known->published_leaving) {
+        near.push_back(known.get());
+      }
+    }
+    return near.empty() ? selection{}
+                        : selection{service.choice->choose(near, now, random_), call_reason::none};
+  }
+
+  // Shed here what lies below would refuse, before any work or byte is spent on it.
+  auto below = service.route_levels.find(call.context.route);
+  if (below != service.route_levels.end() && now < below->second.expires &&
+      !admits(below->second.level, call.context.cls, call.context.shed_rank)) {
+    return {nullptr, call_reason::shed_level};
+  }
+
+  // Split the usable endpoints by region; remember whether levels alone ruled some out.
+  bool shed = false;
+  endpoint* last_resort = nullptr;
+  for (const endpoint_ptr& known : service.endpoints) {
+    if (known->leaving() || was_tried(call, *known)) {
+      continue;
+    }
+    if (now < known->level_expires && !admits(known->level, call.context.cls, call.context.shed_rank)) {
+      shed = true;
+      continue;
+    }
+    if (!is_usable(service, *known, call, now)) {
+      last_resort = known.get();
+      continue;
+    }
+    (known->distance == proximity::other_region ? far : near).push_back(known.get());
+  }
+  if (!near.empty()) {
+    return {service.choice->choose(near, now, random_), call_reason::none};
+  }
+  if (!far.empty()) {
+    endpoint* const chosen = service.choice->choose(far, now, random_);
+    return link_allows(*chosen, call, now) ? selection{chosen, call_reason::none}
+                                           : selection{nullptr, call_reason::no_target};
+  }
+  if (shed) {
+    return {nullptr, call_reason::shed_level};
+  }
+  // Everything is out: a doubtful endpoint is better than none.
+  if (last_resort != nullptr && link_allows(*last_resort, call, now)) {
+    return {last_resort, call_reason::none};
+  }
+  return {};
+}
+
+sender::selection sender::select_ticket_home(const service_state& service, const outbound_call& call) const {
+  for (const endpoint_ptr& known : service.endpoints) {
+    if (known->incarnation == call.context.ticket->incarnation) {
+      return {known.get(), call_reason::none};
+    }
+  }
+  return {nullptr, call_reason::ticket_foreign};
+}
+
+bool sender::link_allows(const endpoint& to, const outbound_call& call, time_point now) {
+  return to.distance != proximity::other_region ||
+         link_.withdraw(static_cast<double>(call.size), call.context.cls, now);
+}
+
+bool sender::is_usable(const service_state& service, const endpoint& candidate, const outbound_call& call,
+                       time_point now) const {
+  return now >= candidate.ejected_until && !is_stalled(service, candidate, call.context.route, now);
+}
+
+bool sender::is_stalled(const service_state& service, const endpoint& candidate, const std::string& route,
+                        time_point now) const {
+  if (candidate.outstanding == 0) {
+    return false;
+  }
+  const duration patience = from_seconds(settings_.stall_factor * seconds(hedge_delay(service, route)));
+  return now - candidate.awaiting_since > patience;
+}
+
+duration sender::hedge_delay(const service_state& service, const std::string& route) const {
+  auto found = service.latencies.find(route);
+  const duration usual = found == service.latencies.end()
+                             ? assumed_latency
+                             : found->second.quantile(settings_.hedge_quantile, assumed_latency);
+  return std::max(usual, settings_.hedge_least_delay);
+}
+
+void sender::send(const outbound_call_ptr& call, endpoint& to, bool repeated, bool is_hedge, time_point now,
+                  sender_actions& actions) {
+  // Record the attempt.
+  attempt made;
+  made.to = &to;
+  made.sent = now;
+  made.tokens_given = call->ledger->take_share();
+  made.is_hedge = is_hedge;
+  call->attempts.push_back(made);
+  if (to.joined == time_point{}) {
+    to.joined = now;
+  }
+  if (to.outstanding == 0) {
+    to.awaiting_since = now;
+  }
+  ++to.outstanding;
+
+  // Write what travels with it.
+  sender_action action;
+  action.what = sender_action::kind::send;
+  action.call = call;
+  action.attempt = call->attempts.size() - 1;
+  action.context = call->context;
+  action.context.repeated = repeated;
+  action.context.retry_tokens = made.tokens_given;
+  action.context.remaining = call->deadline == never ? duration::max() : call->deadline - now;
+  actions.push_back(std::move(action));
+}
+
+void sender::retry_or_complete(const outbound_call_ptr& call, call_outcome outcome, time_point now,
+                               sender_actions& actions) {
+  // Another attempt is still open, and may bring the answer.
+  if (has_open_attempt(*call)) {
+    return;
+  }
+  // The home of a ticket vouches for all its copies; other refusals speak for one attempt only.
+  const bool vouched = call->context.ticket && outcome == call_outcome::not_run;
+  const call_outcome told = call->may_have_run && !vouched ? call_outcome::unknown : outcome;
+  if (!may_retry(*call, told) || now >= call->deadline) {
+    complete(call, told, call->last_refusal, 0, now, actions);
+    return;
+  }
+  service_state& service = state_of(call->context.service);
+  const selection selected = select(service, *call, now);
+  const bool paid = selected.chosen != nullptr && service.retries.has_token() && call->ledger->withdraw();
+  if (!paid) {
+    complete(call, told, call->last_refusal, 0, now, actions);
+    return;
+  }
+  service.retries.withdraw();
+  send(call, *selected.chosen, call->context.repeated || call->may_have_run, false, now, actions);
+}
+
+bool sender::may_retry(const outbound_call& call, call_outcome outcome) const {
+  if (settings_.pass_through || call.attempts.size() >= settings_.most_attempts) {
+    return false;
+  }
+  // A ticket is asked for again at the same home only; its registry gives the first answer again.
+  if (call.context.ticket) {
+    return outcome == call_outcome::unknown;
+  }
+  return outcome == call_outcome::not_run || call.context.idempotent;
+}
+
+void sender::complete(const outbound_call_ptr& call, call_outcome outcome, call_reason reason,
+                      std::size_t index, time_point now, sender_actions& actions) {
+  call->done = true;
+  for (std::size_t i = 0; i < call->attempts.size(); ++i) {
+    attempt& open = call->attempts.at(i);
+    if (!open.open) {
+      continue;
+    }
+    // Time out of a silent endpoint counts against it; an attempt that lost to a hedge does not.
+    if (outcome == call_outcome::unknown && reason == call_reason::deadline) {
+      note_loss(state_of(call->context.service), *open.to, now);
+    }
+    close(open);
+    sender_action action;
+    action.what = sender_action::kind::abandon;
+    action.call = call;
+    action.attempt = i;
+    actions.push_back(std::move(action));
+  }
+  sender_action action;
+  action.what = sender_action::kind::complete;
+  action.call = call;
+  action.attempt = index;
+  action.outcome = outcome;
+  action.reason = reason;
+  actions.push_back(std::move(action));
+}
+
+void sender::hedge(const outbound_call_ptr& call, time_point now, sender_actions& actions) {
+  service_state& service = state_of(call->context.service);
+  const bool first_only = call->attempts.size() == 1 && call->attempts.front().open;
+  if (!first_only || call->hedged || call->context.repeated || !service.hedges.has_token()) {
+    return;
+  }
+  const selection selected = select(service, *call, now);
+  if (selected.chosen == nullptr || selected.chosen->distance == proximity::other_region) {
+    return;
+  }
+  if (!call->ledger->withdraw()) {
+    return;
+  }
+  service.hedges.withdraw();
+  call->hedged = true;
+  send(call, *selected.chosen, true, true, now, actions);
+}
+
+void sender::note_report(service_state& service, endpoint& from, const std::string& route,
+                         const attempt_answer& answer, time_point now) {
+  from.awaiting_since = now;
+  from.consecutive_losses = 0;
+  from.ejections = 0;
+  from.ejected_until = time_point{};
+  from.carried_load = answer.report->load;
+  from.carried_at = now;
+  from.level = answer.report->level;
+  from.level_expires = now + settings_.level_lifetime;
+  from.said_leaving = answer.report->leaving;
+  if (answer.report->incarnation != 0) {
+    from.incarnation = answer.report->incarnation;
+  }
+  if (service.route_levels.size() < most_routes || service.route_levels.count(route) != 0) {
+    service.route_levels[route] = {answer.route_level, now + settings_.level_lifetime};
+  }
+}
+
+void sender::note_loss(service_state& service, endpoint& from, time_point now) {
+  ++from.consecutive_losses;
+  if (from.consecutive_losses < settings_.losses_to_eject || now < from.ejected_until) {
+    return;
+  }
+
+  // Keep enough endpoints in, whatever they look like from here.
+  const std::size_t out = static_cast<std::size_t>(
+      std::count_if(service.endpoints.begin(), service.endpoints.end(),
+                    [&](const endpoint_ptr& known) { return now < known->ejected_until; }));
+  if (static_cast<double>(out + 1) >
+      settings_.most_ejected_share * static_cast<double>(service.endpoints.size())) {
+    return;
+  }
+  const duration length = settings_.ejection * (1U << static_cast<unsigned>(std::min(from.ejections, 5)));
+  from.ejected_until = now + std::min(length, settings_.longest_ejection);
+  ++from.ejections;
+  from.consecutive_losses = 0;
+}
+
+void sender::close(attempt& ended) {
+  ended.open = false;
+  assert(ended.to->outstanding > 0);
+  --ended.to->outstanding;
+}
+
+}  // namespace nutmegarch::policy
