Step the level by faded counts, and only while the queue does not drain

Cause: a trace of the chain at 2.4 times the slow capacity showed the level swinging between 5 and 170. A 50 ms interval sees about 12 calls over 192 positions, so skipping empty positions jumped over whole classes, and the queue of 300 ms kept asking for further cuts while it was already draining. Change: offered counts fade by 5% an interval instead of being cleared; no step down while the queue shrinks; 3 positions down and 8 up at most. Also: a share of the retry tokens goes only to calls that make calls of their own (amplification never retried before: the last token always left with the first attempt), stalled endpoints are told by the gap between answers, and hedges may burst to 50.

--- a/nutmegarch/policy/latency_tracker.cpp
+++ b/nutmegarch/policy/latency_tracker.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 using log_axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
-using log_histogram = boost::histogram::histogram<std::tuple<log_axis>, boost::histogram::dense_storage<double>>;
+using log_histogram =
+    boost::histogram::histogram<std::tuple<log_axis>, boost::histogram::dense_storage<double>>;
 
 constexpr int bin_count = 96;
 constexpr double lowest_seconds = 50e-6;
--- a/nutmegarch/policy/level_controller.cpp
+++ b/nutmegarch/policy/level_controller.cpp
@@ -6,10 +6,11 @@
 namespace nutmegarch::policy {
 
 void level_controller::on_offer(call_class cls, std::uint8_t shed_rank) {
-  ++offered_.at(level_position(cls, shed_rank));
+  offered_.at(level_position(cls, shed_rank)) += 1;
 }
 
 void level_controller::on_waiting(int waiting, int standing) {
+  waiting_ = waiting;
   always_standing_ = always_standing_ && waiting >= standing;
   was_empty_ = was_empty_ || waiting == 0;
 }
@@ -19,14 +20,18 @@
     return false;
   }
   const admission_level before = level_;
-  if (always_standing_) {
+  const bool is_draining = waiting_ < waiting_at_start_;
+  if (always_standing_ && !is_draining) {
     step_down();
   } else if (was_empty_) {
     step_up();
   }
 
   // Start the next interval.
-  offered_.fill(0);
+  for (double& count : offered_) {
+    count *= settings_.memory;
+  }
+  waiting_at_start_ = waiting_;
   always_standing_ = true;
   was_empty_ = false;
   interval_end_ = now + settings_.interval;
@@ -37,28 +42,24 @@
   const double admitted = std::accumulate(offered_.begin(), offered_.begin() + level_.cutoff, 0.0);
   double to_shed = admitted * settings_.decrease;
   int cutoff = level_.cutoff;
-  // Positions without calls cost nothing, so they do not count as steps.
-  while (cutoff > 1 && offered_.at(static_cast<std::size_t>(cutoff) - 1) == 0) {
-    --cutoff;
-  }
-  const int lowest = std::max(1, cutoff - settings_.largest_step);
+  const int lowest = std::max(1, cutoff - settings_.largest_step_down);
   while (cutoff > lowest && to_shed > 0) {
     --cutoff;
     to_shed -= offered_.at(static_cast<std::size_t>(cutoff));
   }
-  level_.cutoff = static_cast<std::uint16_t>(admitted == 0 ? level_.cutoff : std::max(1, cutoff));
+  level_.cutoff = static_cast<std::uint16_t>(cutoff);
 }
 
 void level_controller::step_up() {
   const double admitted = std::accumulate(offered_.begin(), offered_.begin() + level_.cutoff, 0.0);
   double to_admit = std::max(1.0, admitted * settings_.increase);
   int cutoff = level_.cutoff;
-  const int highest = std::min(position_count, cutoff + settings_.largest_step);
+  const int highest = std::min(position_count, cutoff + settings_.largest_step_up);
   // Calls that are shed before they reach this node do not show, so a position counts as at least the
   // average.
   const double average = admitted / std::max<double>(1, level_.cutoff);
   while (cutoff < highest && to_admit > 0) {
-    to_admit -= std::max<double>(offered_.at(static_cast<std::size_t>(cutoff)), average);
+    to_admit -= std::max(offered_.at(static_cast<std::size_t>(cutoff)), average);
     ++cutoff;
   }
   level_.cutoff = static_cast<std::uint16_t>(cutoff);
--- a/nutmegarch/policy/level_controller.h
+++ b/nutmegarch/policy/level_controller.h
@@ -10,16 +10,19 @@
 struct level_settings {
   /// Time between two changes of the level.
   duration interval = std::chrono::milliseconds(50);
+  /// Part of the offered counts that is kept from one interval to the next.
+  double memory = 0.95;
   /// Share of the admitted calls that one step sheds.
   double decrease = 0.05;
   /// Share of the admitted calls that one step adds.
   double increase = 0.1;
-  /// Most positions (a class has shed_rank_count) by which one step moves.
-  int largest_step = 8;
+  /// Most positions (a class has shed_rank_count) by which one step moves down, and up.
+  int largest_step_down = 3;
+  int largest_step_up = 8;
 };
 
-/// Finds the admission level of one target by what was offered in the last interval.
-/// Steps the level down while calls keep waiting and up while nothing waits.
+/// Finds the admission level of one target by what was offered in the last intervals.
+/// Steps the level down while a standing queue does not drain, and up while nothing waits.
 class level_controller {
  public:
   explicit level_controller(const level_settings& settings) : settings_(settings) {}
@@ -44,7 +47,10 @@
 
   level_settings settings_;
   admission_level level_;
-  std::array<int, position_count> offered_{};
+  /// Calls offered at each position; old ones fade.
+  std::array<double, position_count> offered_{};
+  int waiting_ = 0;
+  int waiting_at_start_ = 0;
   bool always_standing_ = false;
   bool was_empty_ = true;
   time_point interval_end_{};
--- a/nutmegarch/policy/retry_budget.h
+++ b/nutmegarch/policy/retry_budget.h
@@ -27,7 +27,7 @@
     return true;
   }
 
-  /// Takes the share of one child call out: half, rounded up.
+  /// Takes the share of a call that makes calls of its own out: half, rounded up.
   std::uint16_t take_share() {
     const std::uint16_t share = static_cast<std::uint16_t>((tokens_ + 1) / 2);
     tokens_ = static_cast<std::uint16_t>(tokens_ - share);
--- a/nutmegarch/policy/sender.cpp
+++ b/nutmegarch/policy/sender.cpp
@@ -45,7 +45,9 @@
 
 void sender::forget_reports() {
   for (std::pair<const std::string, service_state>& entry : services_) {
-    entry.second.route_levels.clear();
+    for (std::pair<const std::string, route_state>& route : entry.second.routes) {
+      route.second.level_expires = time_point{};
+    }
     for (const endpoint_ptr& known : entry.second.endpoints) {
       known->level_expires = time_point{};
       known->carried_at = time_point{};
@@ -108,12 +110,9 @@
     note_loss(service, *answered.to, now);
   }
   if (answer.outcome == call_outcome::ok) {
-    auto latency = service.latencies.find(call->context.route);
-    if (latency == service.latencies.end() && service.latencies.size() < most_routes) {
-      latency = service.latencies.emplace(call->context.route, latency_tracker()).first;
-    }
-    if (latency != service.latencies.end()) {
-      latency->second.add(now - answered.sent);
+    route_state* const route = find_or_add_route(service, call->context.route);
+    if (route != nullptr) {
+      route->latency.add(now - answered.sent);
     }
     service.retries.on_success();
     service.hedges.on_success();
@@ -180,9 +179,9 @@
   }
 
   // What lies below them counts for all.
-  auto below = found->second.route_levels.find(route);
-  if (below != found->second.route_levels.end() && now < below->second.expires) {
-    best.cutoff = std::min(best.cutoff, below->second.level.cutoff);
+  const route_state* const known_route = find_route(found->second, route);
+  if (known_route != nullptr && now < known_route->level_expires) {
+    best.cutoff = std::min(best.cutoff, known_route->level_below.cutoff);
   }
   return best;
 }
@@ -195,6 +194,25 @@
   return found->second;
 }
 
+const sender::route_state* sender::find_route(const service_state& service, const std::string& route) {
+  auto found = service.routes.find(route);
+  return found == service.routes.end() ? nullptr : &found->second;
+}
+
+sender::route_state* sender::find_or_add_route(service_state& service, const std::string& route) {
+  auto found = service.routes.find(route);
+  if (found == service.routes.end() && service.routes.size() < most_routes) {
+    found = service.routes.emplace(route, route_state{}).first;
+  }
+  return found == service.routes.end() ? nullptr : &found->second;
+}
+
+bool sender::is_shed_below(const service_state& service, const outbound_call& call, time_point now) {
+  const route_state* const route = find_route(service, call.context.route);
+  return route != nullptr && now < route->level_expires &&
+         !admits(route->level_below, call.context.cls, call.context.shed_rank);
+}
+
 sender::selection sender::select(service_state& service, const outbound_call& call, time_point now) {
   if (call.context.ticket && !settings_.pass_through) {
     return select_ticket_home(service, call);
@@ -214,9 +232,7 @@
   }
 
   // Shed here what lies below would refuse, before any work or byte is spent on it.
-  auto below = service.route_levels.find(call.context.route);
-  if (below != service.route_levels.end() && now < below->second.expires &&
-      !admits(below->second.level, call.context.cls, call.context.shed_rank)) {
+  if (is_shed_below(service, call, now)) {
     return {nullptr, call_reason::shed_level};
   }
 
@@ -279,16 +295,19 @@
   if (candidate.outstanding == 0) {
     return false;
   }
-  const duration patience = from_seconds(settings_.stall_factor * seconds(hedge_delay(service, route)));
+  const duration usual = latency_of(service, route, 0.5);
+  const duration patience =
+      usual + from_seconds(settings_.stall_gaps * seconds(usual) / candidate.outstanding);
   return now - candidate.awaiting_since > patience;
 }
 
+duration sender::latency_of(const service_state& service, const std::string& route, double q) const {
+  const route_state* const known = find_route(service, route);
+  return known == nullptr ? assumed_latency : known->latency.quantile(q, assumed_latency);
+}
+
 duration sender::hedge_delay(const service_state& service, const std::string& route) const {
-  auto found = service.latencies.find(route);
-  const duration usual = found == service.latencies.end()
-                             ? assumed_latency
-                             : found->second.quantile(settings_.hedge_quantile, assumed_latency);
-  return std::max(usual, settings_.hedge_least_delay);
+  return std::max(latency_of(service, route, settings_.hedge_quantile), settings_.hedge_least_delay);
 }
 
 void sender::send(const outbound_call_ptr& call, endpoint& to, bool repeated, bool is_hedge, time_point now,
@@ -297,7 +316,8 @@
   attempt made;
   made.to = &to;
   made.sent = now;
-  made.tokens_given = call->ledger->take_share();
+  const route_state* const route = find_route(state_of(call->context.service), call->context.route);
+  made.tokens_given = route == nullptr || route->calls_on ? call->ledger->take_share() : std::uint16_t{0};
   made.is_hedge = is_hedge;
   call->attempts.push_back(made);
   if (to.joined == time_point{}) {
@@ -415,8 +435,11 @@
   if (answer.report->incarnation != 0) {
     from.incarnation = answer.report->incarnation;
   }
-  if (service.route_levels.size() < most_routes || service.route_levels.count(route) != 0) {
-    service.route_levels[route] = {answer.route_level, now + settings_.level_lifetime};
+  route_state* const known = find_or_add_route(service, route);
+  if (known != nullptr) {
+    known->level_below = answer.route_level;
+    known->level_expires = now + settings_.level_lifetime;
+    known->calls_on = answer.calls_on;
   }
 }
 
--- a/nutmegarch/policy/sender.h
+++ b/nutmegarch/policy/sender.h
@@ -26,7 +26,7 @@
   std::size_t most_attempts = 3;
   bucket_settings retries;
   /// Hedges towards one service, as a share of its successes.
-  bucket_settings hedges{0.05, 10};
+  bucket_settings hedges{0.05, 50};
   /// A hedge goes out when the call has waited longer than this share of calls.
   double hedge_quantile = 0.95;
   /// Shortest wait before a hedge.
@@ -40,8 +40,9 @@
   duration longest_ejection = std::chrono::seconds(30);
   /// Largest share of the endpoints of a service that may be out.
   double most_ejected_share = 0.5;
-  /// An endpoint is stalled when nothing came for this many times the hedge delay while calls are open.
-  double stall_factor = 2.0;
+  /// An endpoint is stalled when nothing came for the median latency and this many times the usual gap
+  /// between two of its answers.
+  double stall_gaps = 4.0;
   /// Load from which on a nearer endpoint counts as full, so that calls go to another region.
   double spill_load = 1.5;
   byte_bucket_settings link;
@@ -78,6 +79,8 @@
   std::optional<node_report> report;
   /// Level below the endpoint for calls of this route.
   admission_level route_level;
+  /// Calls of this route make calls of their own, which may need retry tokens.
+  bool calls_on = true;
 };
 
 /// Decides for calls that leave this node: where to, how often, when to give up. No I/O, no clock; not
@@ -121,16 +124,19 @@
   admission_level level_of(const std::string& service, const std::string& route, time_point now) const;
 
  private:
-  struct route_level {
-    admission_level level;
-    time_point expires{};
+  /// What answers have told about one route of a service.
+  struct route_state {
+    latency_tracker latency;
+    /// Lowest level of the services below.
+    admission_level level_below;
+    time_point level_expires{};
+    bool calls_on = true;
   };
 
   struct service_state {
     std::vector<endpoint_ptr> endpoints;
     std::unique_ptr<routing_choice> choice;
-    std::unordered_map<std::string, route_level> route_levels;
-    std::unordered_map<std::string, latency_tracker> latencies;
+    std::unordered_map<std::string, route_state> routes;
     retry_bucket retries;
     retry_bucket hedges;
 
@@ -152,6 +158,9 @@
   };
 
   service_state& state_of(const std::string& service);
+  static const route_state* find_route(const service_state& service, const std::string& route);
+  static route_state* find_or_add_route(service_state& service, const std::string& route);
+  static bool is_shed_below(const service_state& service, const outbound_call& call, time_point now);
   selection select(service_state& service, const outbound_call& call, time_point now);
   selection select_ticket_home(const service_state& service, const outbound_call& call) const;
   bool link_allows(const endpoint& to, const outbound_call& call, time_point now);
@@ -159,6 +168,7 @@
                  time_point now) const;
   bool is_stalled(const service_state& service, const endpoint& candidate, const std::string& route,
                   time_point now) const;
+  duration latency_of(const service_state& service, const std::string& route, double q) const;
   duration hedge_delay(const service_state& service, const std::string& route) const;
   void send(const outbound_call_ptr& call, endpoint& to, bool repeated, bool is_hedge, time_point now,
             sender_actions& actions);
--- a/performance_test/virtual_time/chain_measures.cpp
+++ b/performance_test/virtual_time/chain_measures.cpp
@@ -152,6 +152,7 @@
             answer.outcome = below ? call_outcome::ok : call_outcome::failed;
             answer.tokens_back = share->tokens();
             answer.report = node_report{};
+            answer.calls_on = level + 1 < depth;
           }
           now += milliseconds(1);
           hops.at(static_cast<std::size_t>(level))->on_answer(made, action.attempt, answer, now, actions);
--- a/performance_test/virtual_time/fake_node.cpp
+++ b/performance_test/virtual_time/fake_node.cpp
@@ -241,6 +241,7 @@
   answer.tokens_back = to.ledger->tokens();
   answer.report =
       node_report{receiver_.load(), receiver_.level(), receiver_.leaving(), orders_.incarnation()};
+  answer.calls_on = !settings_.calls.empty();
   answer.route_level = downstream_.level_below(to.call->context.route, sender_, events_.now());
   to.answer(answer);
 }
