--- /dev/null
+++ b/nutmegarch/command/commands.cpp
@@ -0,0 +1,62 @@
+#include "nutmegarch/command/commands.h"
+
+#include <functional>
+#include <iostream>
+#include <map>
+
+namespace nutmegarch::command {
+
+namespace {
+
+struct command_entry {
+  int (*run)(const std::vector<std::string>&);
+  const char* summary;
+};
+
+const std::map<std::string, command_entry>& commands() {
+  static const std::map<std::string, command_entry> known = {
+      {"node", {run_node, "runs the node beside a target: --settings FILE [--check]"}},
+      {"rules", {run_rules, "check FILE | show --node ADDRESS | diff OLD NEW"}},
+      {"status", {run_status, "shows the state of a node: --node ADDRESS"}},
+      {"timeline", {run_timeline, "merges the events of nodes: --node ADDRESS..."}},
+      {"load", {run_load, "sends open-loop load: --settings FILE"}},
+  };
+  return known;
+}
+
+void print_usage(std::ostream& out) {
+  out << "usage: nutmegarch COMMAND [OPTIONS]\n\n";
+  for (const std::pair<const std::string, command_entry>& known : commands()) {
+    out << "  " << known.first << std::string(10 - known.first.size(), ' ') << known.second.summary << '\n';
+  }
+  out << "\nEach command knows --help and --version.\n";
+}
+
+}  // namespace
+
+int run(const std::vector<std::string>& words) {
+  if (words.empty()) {
+    print_usage(std::cerr);
+    return bad_usage;
+  }
+  const std::string& name = words.front();
+  if (name == "--help" || name == "-h") {
+    print_usage(std::cout);
+    return done;
+  }
+  if (name == "--version") {
+    std::cout << "nutmegarch " << version() << '\n';
+    return done;
+  }
+  auto found = commands().find(name);
+  if (found == commands().end()) {
+    std::cerr << "nutmegarch: unknown command \"" << name << "\"\n";
+    print_usage(std::cerr);
+    return bad_usage;
+  }
+  return found->second.run({words.begin() + 1, words.end()});
+}
+
+std::string version() { return NUTMEGARCH_VERSION; }
+
+}  // namespace nutmegarch::command
--- /dev/null
+++ b/nutmegarch/command/main.cpp
@@ -0,0 +1,11 @@
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "nutmegarch/command/commands.h"
+
+/// Dispatches on the first word of the command line. Exit codes: 0 done, 1 failed, 2 usage or bad input.
+int main(int argc, char** argv) {
+  const std::vector<std::string> words(argv + 1, argv + argc);
+  return nutmegarch::command::run(words);
+}
--- /dev/null
+++ b/nutmegarch/command/node_command.cpp
@@ -0,0 +1,83 @@
+#include <csignal>
+#include <iostream>
+#include <pthread.h>
+#include <random>
+#include <thread>
+
+#include "nutmegarch/command/command_line.h"
+#include "nutmegarch/command/commands.h"
+#include "nutmegarch/node/node.h"
+
+namespace nutmegarch::command {
+
+namespace {
+
+std::uint64_t random_number() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+/// Waits for the signal of a planned stop on a thread of its own.
+int wait_for_signal(const sigset_t& signals) {
+  int received = 0;
+  sigwait(&signals, &received);
+  return received;
+}
+
+int serve(const node::node_settings& settings) {
+  // Threads inherit the mask, so that only this one takes the signals.
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+
+  node::node served(settings, random_number(), random_number());
+  const std::string error = served.start();
+  if (!error.empty()) {
+    std::cerr << "nutmegarch node: " << error << '\n';
+    return failed;
+  }
+  observe::log_event(observe::log_level::info, "node-started",
+                     {{"host", settings.identity.host}, {"callers", settings.listen.callers}});
+  wait_for_signal(signals);
+  served.leave();
+  served.wait();
+  return done;
+}
+
+}  // namespace
+
+int run_node(const std::vector<std::string>& words) {
+  TCLAP::CmdLine line("Runs the node beside a target.", ' ', version());
+  TCLAP::ValueArg<std::string> file("", "settings", "Settings file, JSON with comments.", true, "", "FILE",
+                                    line);
+  TCLAP::SwitchArg check("", "check", "Only checks the settings.", line);
+  const std::optional<int> ended = parse(line, "node", words);
+  if (ended) {
+    return *ended;
+  }
+  const std::optional<std::string> text = read_file(file.getValue());
+  if (!text) {
+    std::cerr << file.getValue() << ": can't be read\n";
+    return bad_usage;
+  }
+  const std::variant<node::node_settings, std::vector<settings::settings_error>> read =
+      node::read_node_settings(*text);
+  if (std::holds_alternative<std::vector<settings::settings_error>>(read)) {
+    for (const settings::settings_error& error : std::get<std::vector<settings::settings_error>>(read)) {
+      std::cerr << to_text(error, file.getValue()) << '\n';
+    }
+    return bad_usage;
+  }
+  if (check.getValue()) {
+    std::cout << file.getValue() << ": good\n";
+    return done;
+  }
+  const node::node_settings& settings = std::get<node::node_settings>(read);
+  observe::configure_log(settings.log);
+  return serve(settings);
+}
+
+}  // namespace nutmegarch::command
--- /dev/null
+++ b/nutmegarch/command/timeline_command.cpp
@@ -0,0 +1,87 @@
+#include <algorithm>
+#include <chrono>
+#include <iostream>
+#include <thread>
+
+#include <boost/json.hpp>
+
+#include "nutmegarch/command/command_line.h"
+#include "nutmegarch/command/commands.h"
+#include "nutmegarch/command/merged_timeline.h"
+#include "nutmegarch/observe/hybrid_clock.h"
+#include "nutmegarch/rules/rule_file.h"
+
+namespace nutmegarch::command {
+
+namespace {
+
+constexpr std::chrono::milliseconds follow_interval{500};
+
+/// Prints in the chosen format. Text can be continued; the others are whole documents.
+void print(const std::string& format, const std::vector<merged_event>& events) {
+  if (format == "json") {
+    std::cout << to_json(events) << '\n';
+  } else if (format == "chrome") {
+    std::cout << to_chrome_trace(events) << '\n';
+  } else if (format == "svg") {
+    std::cout << to_svg(events) << '\n';
+  } else {
+    std::cout << to_text(events) << std::flush;
+  }
+}
+
+/// The stamp of the moment `since` ago.
+std::uint64_t stamp_before(duration since) {
+  const std::chrono::milliseconds wall = std::chrono::duration_cast<std::chrono::milliseconds>(
+      (std::chrono::system_clock::now() - since).time_since_epoch());
+  return static_cast<std::uint64_t>(wall.count()) << 16U;
+}
+
+}  // namespace
+
+int run_timeline(const std::vector<std::string>& words) {
+  TCLAP::CmdLine line("Merges the events of nodes into one order.", ' ', version());
+  TCLAP::MultiArg<std::string> nodes("", "node", "Administration address of a node.", true, "ADDRESS", line);
+  TCLAP::ValueArg<std::string> since("", "since", "Only events of this long ago and later, as 5min.", false,
+                                     "", "DURATION", line);
+  TCLAP::ValueArg<std::string> kind("", "kind", "Only events of this kind.", false, "", "KIND", line);
+  TCLAP::ValueArg<std::string> request("", "request", "Only events of this request id.", false, "", "ID",
+                                       line);
+  TCLAP::SwitchArg follow("", "follow", "Goes on with new events; text only.", line);
+  std::vector<std::string> formats = {"text", "json", "chrome", "svg"};
+  TCLAP::ValuesConstraint<std::string> known_formats(formats);
+  TCLAP::ValueArg<std::string> format("", "format", "Form of the output.", false, "text", &known_formats,
+                                      line);
+  const std::optional<int> ended = parse(line, "timeline", words);
+  if (ended) {
+    return *ended;
+  }
+  timeline_query query{nodes.getValue(), 0, kind.getValue(), request.getValue()};
+  if (!since.getValue().empty()) {
+    const std::optional<duration> length = rules::parse_duration(since.getValue());
+    if (!length) {
+      std::cerr << "nutmegarch timeline: --since: expected a duration with its unit, as 5min\n";
+      return bad_usage;
+    }
+    query.after = stamp_before(*length);
+  }
+  const bool goes_on = follow.getValue() && format.getValue() == "text";
+  bool any_answered = false;
+  do {
+    const merged_timeline merged = fetch_timeline(query);
+    for (const std::string& silent : merged.silent) {
+      std::cerr << silent << ": no answer\n";
+    }
+    any_answered = merged.silent.size() < nodes.getValue().size();
+    print(format.getValue(), merged.events);
+    if (!merged.events.empty()) {
+      query.after = merged.events.back().stamp;
+    }
+    if (goes_on) {
+      std::this_thread::sleep_for(follow_interval);
+    }
+  } while (goes_on);
+  return any_answered ? done : failed;
+}
+
+}  // namespace nutmegarch::command
--- /dev/null
+++ b/nutmegarch/http/client_pool.cpp
@@ -0,0 +1,265 @@
+#include "nutmegarch/http/client_pool.h"
+
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "nutmegarch/http/conversion.h"
+
+namespace nutmegarch::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using tcp = asio::ip::tcp;
+using stream_ptr = std::unique_ptr<beast::tcp_stream>;
+
+/// True when the other end has neither closed the connection nor written what nobody asked for.
+bool is_clean(tcp::socket& socket) {
+  char byte = 0;
+  beast::error_code error;
+  socket.non_blocking(true, error);
+  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+/// One request over one connection. All its members are used on its strand only.
+class exchange final : public std::enable_shared_from_this<exchange> {
+ public:
+  using finished = std::function<void(exchange&, result<answer_message, client_error>, bool reusable)>;
+
+  exchange(stream_ptr stream, beast_request request, const client_settings& settings, finished done)
+      : stream_(std::move(stream)),
+        request_(std::move(request)),
+        settings_(settings),
+        done_(std::move(done)) {}
+
+  /// Connects first, unless the stream is connected.
+  void start(const tcp::endpoint& address, duration timeout, bool is_connected) {
+    deadline_ = std::chrono::steady_clock::now() + timeout;
+    asio::dispatch(stream_->get_executor(), [self = shared_from_this(), address, is_connected]() {
+      if (is_connected) {
+        self->write();
+        return;
+      }
+      self->stream_->expires_after(self->settings_.connect_timeout);
+      self->stream_->async_connect(address, [self](beast::error_code error) { self->on_connect(error); });
+    });
+  }
+
+  void cancel() {
+    asio::post(stream_->get_executor(), [self = shared_from_this()]() {
+      self->done_ = nullptr;
+      if (self->stream_) {
+        self->stream_->close();
+      }
+    });
+  }
+
+  /// Hands the stream over; only for the callback.
+  stream_ptr take_stream() { return std::move(stream_); }
+
+ private:
+  void on_connect(beast::error_code error) {
+    if (error) {
+      finish(client_error::unreachable, false);
+      return;
+    }
+    beast::error_code ignored;
+    stream_->socket().set_option(tcp::no_delay(true), ignored);
+    write();
+  }
+
+  void write() {
+    stream_->expires_at(deadline_);
+    beast::http::async_write(*stream_, request_,
+                             [self = shared_from_this()](beast::error_code error, std::size_t) {
+                               if (error) {
+                                 self->finish(error_of(error), false);
+                                 return;
+                               }
+                               self->read();
+                             });
+  }
+
+  void read() {
+    parser_.emplace();
+    parser_->body_limit(settings_.most_body_bytes);
+    if (request_.method() == beast::http::verb::head) {
+      parser_->skip(true);
+    }
+    beast::http::async_read(
+        *stream_, buffer_, *parser_,
+        [self = shared_from_this()](beast::error_code error, std::size_t) { self->on_read(error); });
+  }
+
+  void on_read(beast::error_code error) {
+    if (error) {
+      finish(error_of(error), false);
+      return;
+    }
+    // An answer that ends with its connection can't be told from one that was cut off.
+    const bool has_end = parser_->chunked() || parser_->content_length() || parser_->get().body().empty();
+    if (!has_end) {
+      finish(client_error::malformed, false);
+      return;
+    }
+    const bool reusable = parser_->get().keep_alive() && buffer_.size() == 0;
+    finish(from_beast(parser_->release()), reusable);
+  }
+
+  static client_error error_of(beast::error_code error) {
+    if (error == beast::error::timeout) {
+      return client_error::timed_out;
+    }
+    if (error == beast::http::error::body_limit) {
+      return client_error::too_large;
+    }
+    const bool is_parse_error =
+        error.category() == make_error_code(beast::http::error::bad_method).category();
+    const bool is_cut_off =
+        error == beast::http::error::end_of_stream || error == beast::http::error::partial_message;
+    return is_parse_error && !is_cut_off ? client_error::malformed : client_error::lost;
+  }
+
+  void finish(result<answer_message, client_error> outcome, bool reusable) {
+    if (!done_) {
+      return;
+    }
+    const finished done = std::move(done_);
+    done_ = nullptr;
+    done(*this, std::move(outcome), reusable);
+  }
+
+  /// Null once the exchange has ended.
+  stream_ptr stream_;
+  beast_request request_;
+  client_settings settings_;
+  finished done_;
+  std::chrono::steady_clock::time_point deadline_;
+  beast::flat_buffer buffer_;
+  std::optional<beast::http::response_parser<beast::http::string_body>> parser_;
+};
+
+}  // namespace
+
+class client_pool::impl final : public std::enable_shared_from_this<client_pool::impl> {
+ public:
+  impl(asio::io_context& workers, const tcp::endpoint& address, const client_settings& settings)
+      : workers_(workers), address_(address), settings_(settings) {
+    host_ = address.address().to_string() + ':' + std::to_string(address.port());
+  }
+
+  std::uint64_t send(const request_message& request, duration timeout, callback done) {
+    stream_ptr stream;
+    std::uint64_t number = 0;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      number = ++last_number_;
+      if (static_cast<int>(open_.size()) >= settings_.most_connections) {
+        asio::post(workers_, [done = std::move(done)]() { done(client_error::unreachable); });
+        return number;
+      }
+      stream = take_idle();
+    }
+    const bool is_connected = stream != nullptr;
+    if (!is_connected) {
+      stream = std::make_unique<beast::tcp_stream>(asio::make_strand(workers_));
+    }
+    const std::shared_ptr<exchange> made = std::make_shared<exchange>(
+        std::move(stream), to_beast(request, host_), settings_,
+        [self = shared_from_this(), number, done = std::move(done)](
+            exchange& ended, result<answer_message, client_error> outcome, bool reusable) {
+          self->release(number, ended, reusable);
+          done(std::move(outcome));
+        });
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      open_[number] = made;
+    }
+    made->start(address_, timeout, is_connected);
+    return number;
+  }
+
+  void cancel(std::uint64_t number) {
+    std::shared_ptr<exchange> cancelled;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      auto found = open_.find(number);
+      if (found == open_.end()) {
+        return;
+      }
+      cancelled = std::move(found->second);
+      open_.erase(found);
+    }
+    cancelled->cancel();
+  }
+
+  void drop_idle() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    idle_.clear();
+  }
+
+ private:
+  /// The newest idle connection that is still good. Holds the lock.
+  stream_ptr take_idle() {
+    while (!idle_.empty()) {
+      stream_ptr stream = std::move(idle_.back());
+      idle_.pop_back();
+      if (is_clean(stream->socket())) {
+        return stream;
+      }
+    }
+    return nullptr;
+  }
+
+  void release(std::uint64_t number, exchange& ended, bool reusable) {
+    stream_ptr stream = ended.take_stream();
+    stream->expires_never();
+    const std::lock_guard<std::mutex> lock(mutex_);
+    open_.erase(number);
+    if (reusable && static_cast<int>(idle_.size()) < settings_.most_idle) {
+      idle_.push_back(std::move(stream));
+    } else {
+      stream->close();
+    }
+  }
+
+  asio::io_context& workers_;
+  tcp::endpoint address_;
+  std::string host_;
+  client_settings settings_;
+  /// Guards what follows; no other lock is taken while it is held.
+  std::mutex mutex_;
+  std::uint64_t last_number_ = 0;
+  std::unordered_map<std::uint64_t, std::shared_ptr<exchange>> open_;
+  std::vector<stream_ptr> idle_;
+};
+
+client_pool::client_pool(asio::io_context& workers, const tcp::endpoint& address,
+                         const client_settings& settings)
+    : impl_(std::make_shared<impl>(workers, address, settings)) {}
+
+client_pool::~client_pool() { impl_->drop_idle(); }
+
+std::uint64_t client_pool::send(const request_message& request, duration timeout, callback done) {
+  return impl_->send(request, timeout, std::move(done));
+}
+
+void client_pool::cancel(std::uint64_t number) { impl_->cancel(number); }
+
+void client_pool::drop_idle() { impl_->drop_idle(); }
+
+}  // namespace nutmegarch::http
--- /dev/null
+++ b/nutmegarch/http/client_pool.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "nutmegarch/core/message.h"
+#include "nutmegarch/core/result.h"
+#include "nutmegarch/core/time.h"
+
+namespace nutmegarch::http {
+
+/// Errors of the HTTP client.
+enum class client_error : std::uint8_t {
+  /// No connection came about: nothing was written.
+  unreachable,
+  /// The connection ended before the whole answer, after bytes may have been written.
+  lost,
+  /// The answer did not come in time.
+  timed_out,
+  /// The answer is larger than allowed.
+  too_large,
+  /// The answer is no HTTP, or its end can't be told from a broken connection.
+  malformed
+};
+
+/// Settings of client_pool.
+struct client_settings {
+  /// Most connections at once; further requests fail as unreachable.
+  int most_connections = 900;
+  /// Idle connections that are kept.
+  int most_idle = 256;
+  duration connect_timeout = std::chrono::seconds(1);
+  /// Largest body of an answer, in bytes.
+  std::size_t most_body_bytes = 1U << 20U;
+};
+
+/// Pooled HTTP/1.1 connections to one address. A request is written once, to one connection; a connection
+/// whose request was cancelled, timed out or answered in part is closed and never used again.
+class client_pool {
+ public:
+  using callback = std::function<void(result<answer_message, client_error>)>;
+
+  client_pool(boost::asio::io_context& workers, const boost::asio::ip::tcp::endpoint& address,
+              const client_settings& settings);
+  client_pool(const client_pool&) = delete;
+  client_pool& operator=(const client_pool&) = delete;
+  ~client_pool();
+
+  /// Sends a request. The callback runs once on a worker, unless the request is cancelled before.
+  /// Returns a number for cancel().
+  std::uint64_t send(const request_message& request, duration timeout, callback done);
+
+  /// Nobody waits for the answer: closes the connection.
+  void cancel(std::uint64_t number);
+
+  /// Closes the idle connections, since they may be dead.
+  void drop_idle();
+
+ private:
+  class impl;
+
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace nutmegarch::http
--- /dev/null
+++ b/nutmegarch/http/conversion.cpp
@@ -0,0 +1,86 @@
+#include "nutmegarch/http/conversion.h"
+
+#include <algorithm>
+#include <array>
+
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/verb.hpp>
+
+namespace nutmegarch::http {
+
+namespace {
+
+namespace beast_http = boost::beast::http;
+
+constexpr std::array<beast_http::field, 8> hop_by_hop_fields = {beast_http::field::connection,
+                                                                beast_http::field::keep_alive,
+                                                                beast_http::field::transfer_encoding,
+                                                                beast_http::field::content_length,
+                                                                beast_http::field::te,
+                                                                beast_http::field::trailer,
+                                                                beast_http::field::upgrade,
+                                                                beast_http::field::proxy_connection};
+
+bool is_hop_by_hop(beast_http::field name) {
+  return std::find(hop_by_hop_fields.begin(), hop_by_hop_fields.end(), name) != hop_by_hop_fields.end();
+}
+
+template <typename Fields>
+headers read_fields(const Fields& from) {
+  headers fields;
+  for (const auto& field : from) {  // The library gives the field's type no public name.
+    if (!is_hop_by_hop(field.name()) && field.name() != beast_http::field::host) {
+      fields.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+  }
+  return fields;
+}
+
+}  // namespace
+
+request_message from_beast(beast_request&& from) {
+  request_message request;
+  request.method = std::string(from.method_string());
+  request.target = std::string(from.target());
+  request.fields = read_fields(from);
+  request.body = std::move(from.body());
+  return request;
+}
+
+answer_message from_beast(beast_response&& from) {
+  answer_message answer;
+  answer.status = static_cast<int>(from.result_int());
+  answer.fields = read_fields(from);
+  answer.body = std::move(from.body());
+  return answer;
+}
+
+beast_request to_beast(const request_message& from, const std::string& host) {
+  beast_request request;
+  request.version(11);
+  request.method_string(from.method);
+  request.target(from.target);
+  request.set(beast_http::field::host, host);
+  for (const header& field : from.fields) {
+    request.insert(field.name, field.value);
+  }
+  request.body() = from.body;
+  request.keep_alive(true);
+  request.prepare_payload();
+  return request;
+}
+
+beast_response to_beast(answer_message&& from, bool keep_alive) {
+  beast_response response;
+  response.version(11);
+  response.result(static_cast<unsigned>(from.status));
+  for (const header& field : from.fields) {
+    response.insert(field.name, field.value);
+  }
+  response.body() = std::move(from.body);
+  response.keep_alive(keep_alive);
+  response.prepare_payload();
+  return response;
+}
+
+}  // namespace nutmegarch::http
--- /dev/null
+++ b/nutmegarch/membership/gossip_schedule.cpp
@@ -0,0 +1,31 @@
+#include "nutmegarch/membership/gossip_schedule.h"
+
+#include <algorithm>
+
+namespace nutmegarch::membership {
+
+std::vector<std::string> gossip_schedule::due(time_point now) {
+  if (now < next_exchange_ || peers_.empty()) {
+    return {};
+  }
+  // Jitter of half the interval keeps nodes from moving in step.
+  next_exchange_ = now + from_seconds(seconds(settings_.interval) * (0.75 + 0.5 * random_.unit()));
+  return {peers_.at(random_.below(peers_.size()))};
+}
+
+std::vector<std::string> gossip_schedule::pick_for_news() {
+  std::vector<std::string> chosen = peers_;
+  std::shuffle(chosen.begin(), chosen.end(), random_.engine());
+  chosen.resize(std::min(chosen.size(), static_cast<std::size_t>(settings_.fan_out)));
+  return chosen;
+}
+
+bool gossip_schedule::should_read(time_point now) {
+  if (now - heard_ < settings_.silence || now < next_read_) {
+    return false;
+  }
+  next_read_ = now + from_seconds(seconds(settings_.least_read_interval) * (1 + random_.unit()));
+  return true;
+}
+
+}  // namespace nutmegarch::membership
--- /dev/null
+++ b/nutmegarch/membership/gossip_schedule.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "nutmegarch/core/random.h"
+#include "nutmegarch/core/time.h"
+
+namespace nutmegarch::membership {
+
+/// Settings of gossip_schedule.
+struct gossip_settings {
+  /// Time between two exchanges with a random peer.
+  duration interval = std::chrono::milliseconds(500);
+  /// Peers that are told of news at once.
+  int fan_out = 3;
+  /// Nothing heard of peers or the configuration service for this long: read it.
+  duration silence = std::chrono::seconds(15);
+  /// Shortest time between two reads that nobody asked for.
+  duration least_read_interval = std::chrono::seconds(10);
+};
+
+/// Decides when a node exchanges with which peers, and when it reads the configuration by itself.
+/// No I/O; not thread-safe.
+class gossip_schedule {
+ public:
+  gossip_schedule(const gossip_settings& settings, random_source& random)
+      : settings_(settings), random_(random) {}
+
+  /// Replaces the peers, by address.
+  void set_peers(std::vector<std::string> peers) { peers_ = std::move(peers); }
+  const std::vector<std::string>& peers() const { return peers_; }
+
+  /// Peers to exchange with now; empty when it is not yet time.
+  std::vector<std::string> due(time_point now);
+
+  /// Peers to tell of news: `fan_out` random ones.
+  std::vector<std::string> pick_for_news();
+
+  /// Something new enough was heard from a peer or from the configuration service.
+  void on_heard(time_point now) { heard_ = now; }
+
+  /// True when the node is to read the configuration by itself now. Jittered, and rate-capped by itself.
+  bool should_read(time_point now);
+
+ private:
+  gossip_settings settings_;
+  random_source& random_;
+  std::vector<std::string> peers_;
+  time_point next_exchange_{};
+  time_point heard_{};
+  time_point next_read_{};
+};
+
+}  // namespace nutmegarch::membership
--- /dev/null
+++ b/nutmegarch/membership/host_list.cpp
@@ -0,0 +1,63 @@
+#include "nutmegarch/membership/host_list.h"
+
+#include <boost/json.hpp>
+
+namespace nutmegarch::membership {
+
+namespace {
+
+std::string text_of(const boost::json::object& from, const char* key) {
+  const boost::json::value* const found = from.if_contains(key);
+  return found != nullptr && found->is_string() ? std::string(found->get_string()) : std::string();
+}
+
+double number_of(const boost::json::object& from, const char* key, double fallback) {
+  const boost::json::value* const found = from.if_contains(key);
+  if (found == nullptr || !found->is_number()) {
+    return fallback;
+  }
+  return found->to_number<double>();
+}
+
+published_host read_host(const boost::json::object& from) {
+  published_host host;
+  host.host = text_of(from, "host");
+  host.service = text_of(from, "service");
+  host.domain = text_of(from, "domain");
+  host.region = text_of(from, "region");
+  host.peers = text_of(from, "peers");
+  host.slots = static_cast<int>(number_of(from, "slots", 64));
+  host.load = number_of(from, "load", 0);
+  host.leaving = text_of(from, "state") == "leaving";
+  return host;
+}
+
+}  // namespace
+
+result<host_list, host_list_error> parse_host_list(const std::string& text) {
+  boost::json::error_code error;
+  const boost::json::value parsed = boost::json::parse(text, error);
+  if (error || !parsed.is_object()) {
+    return host_list_error{"not a JSON object"};
+  }
+  const boost::json::object& top = parsed.get_object();
+  const boost::json::value* const hosts = top.if_contains("hosts");
+  if (hosts == nullptr || !hosts->is_array()) {
+    return host_list_error{"no array \"hosts\""};
+  }
+  host_list list;
+  list.revision = static_cast<std::uint64_t>(number_of(top, "revision", 0));
+  for (const boost::json::value& entry : hosts->get_array()) {
+    if (!entry.is_object()) {
+      return host_list_error{"a host is not an object"};
+    }
+    published_host host = read_host(entry.get_object());
+    if (host.host.empty() || host.peers.empty() || host.slots < 1) {
+      return host_list_error{"a host without name, address or slots"};
+    }
+    list.hosts.push_back(std::move(host));
+  }
+  return list;
+}
+
+}  // namespace nutmegarch::membership
--- /dev/null
+++ b/nutmegarch/node/admin_api.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <map>
+#include <memory>
+
+#include "nutmegarch/http/server.h"
+#include "nutmegarch/node/inbound_path.h"
+#include "nutmegarch/node/outbound_path.h"
+
+namespace nutmegarch::node {
+
+/// Read-only administration over HTTP: /metrics, /status, /rules, /timeline and /explain. docs/ADMIN.md
+/// describes it.
+class admin_api final : public http::request_handler {
+ public:
+  admin_api(node_state& state, const inbound_path& inbound, const outbound_path& outbound)
+      : state_(state), inbound_(inbound), outbound_(outbound) {}
+
+  void on_request(std::uint64_t exchange, request_message request, reply answer) override;
+
+ private:
+  using parameters = std::map<std::string, std::string>;
+
+  answer_message route(const request_message& request);
+  answer_message metrics() const;
+  answer_message status() const;
+  answer_message rules() const;
+  answer_message timeline(const parameters& query) const;
+  answer_message explain(const parameters& query) const;
+
+  node_state& state_;
+  const inbound_path& inbound_;
+  const outbound_path& outbound_;
+};
+
+}  // namespace nutmegarch::node
--- /dev/null
+++ b/nutmegarch/node/control_path.cpp
@@ -0,0 +1,376 @@
+#include "nutmegarch/node/control_path.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "nutmegarch/core/hash.h"
+#include "nutmegarch/http/address.h"
+#include "nutmegarch/membership/reader_choice.h"
+#include "nutmegarch/observe/log.h"
+
+namespace nutmegarch::node {
+
+namespace {
+
+constexpr const char* hosts_prefix = "hosts/";
+/// Wait after a read that failed, doubled by chance.
+constexpr duration retry_delay = std::chrono::seconds(1);
+/// Peers that a node asks when it starts or wakes up late.
+constexpr int peers_to_ask = 3;
+
+std::string list_rules(const std::vector<rules::rule>& rules) {
+  std::string text;
+  for (const rules::rule& gone : rules) {
+    text += (text.empty() ? "" : "; ") + gone.text + " (who: " + gone.who + ", why: " + gone.why + ")";
+  }
+  return text;
+}
+
+}  // namespace
+
+std::string hosts_key(const std::string& service) { return hosts_prefix + service; }
+
+control_path::control_path(node_state& state, boost::asio::io_context& workers, protocol::peer_network& peers)
+    : state_(state),
+      workers_(workers),
+      peers_(peers),
+      configuration_(workers, *http::parse_address(state.settings.platform.address)) {}
+
+void control_path::start() {
+  read(hosts_key(state_.settings.identity.service));
+  for (const std::string& service : state_.settings.identity.calls) {
+    read(hosts_key(service));
+  }
+  // The rules come after the hosts, so that peers are asked before a single read is trusted.
+  read_after(rules_key, std::chrono::milliseconds(100));
+}
+
+void control_path::on_time() {
+  std::vector<std::string> due;
+  bool should_read = false;
+  bool reads_for_all = false;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    const time_point now = state_.clock.now();
+    due = state_.gossip.due(now);
+    should_read = state_.gossip.should_read(now);
+    reads_for_all = is_reader_;
+  }
+  for (const std::string& address : due) {
+    exchange_with(address, false);
+  }
+  if (should_read) {
+    state_.events.add(observe::event_kind::configuration_silent, {}, "", "reads by itself");
+    read(rules_key);
+    read(hosts_key(state_.settings.identity.service));
+  }
+  if (reads_for_all) {
+    watch(rules_key);
+    watch(hosts_key(state_.settings.identity.service));
+  }
+}
+
+protocol::peer_exchange control_path::on_exchange(const protocol::peer_exchange& offer) {
+  const bool is_news = merge(offer);
+  protocol::peer_exchange reply = make_offer();
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    reply.documents = state_.documents.newer_than(offer.digest);
+    // Only what the peer is interested in.
+    reply.digest.erase(std::remove_if(reply.digest.begin(), reply.digest.end(),
+                                      [&](const membership::document_stamp& stamp) {
+                                        return std::none_of(offer.digest.begin(), offer.digest.end(),
+                                                            [&](const membership::document_stamp& theirs) {
+                                                              return theirs.key == stamp.key;
+                                                            });
+                                      }),
+                       reply.digest.end());
+  }
+  if (is_news) {
+    boost::asio::post(workers_, [self = shared_from_this()]() { self->spread_news(); });
+  }
+  return reply;
+}
+
+void control_path::announce_leaving() {
+  std::vector<std::string> all;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    all = state_.gossip.peers();
+  }
+  for (const std::string& address : all) {
+    exchange_with(address, false);
+  }
+}
+
+void control_path::revalidate() {
+  std::vector<std::string> asked;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    asked = state_.gossip.pick_for_news();
+    watched_.clear();
+  }
+  for (const std::string& address : asked) {
+    exchange_with(address, false);
+  }
+  read(rules_key);
+}
+
+void control_path::spread_news() {
+  std::vector<std::string> chosen;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    chosen = state_.gossip.pick_for_news();
+  }
+  for (const std::string& address : chosen) {
+    exchange_with(address, true);
+  }
+}
+
+void control_path::read(const std::string& key) {
+  state_.counts.add("configuration_reads");
+  configuration_.read(
+      key, [self = shared_from_this(),
+            key](const result<platform::configuration_value, platform::configuration_error>& outcome) {
+        self->on_value(key, outcome);
+        if (succeeded(outcome)) {
+          return;
+        }
+        // Try again until there is something; afterwards peers and watches are enough.
+        bool is_held = false;
+        double jitter = 0;
+        {
+          const std::lock_guard<std::mutex> lock(self->state_.mutex);
+          is_held = self->state_.documents.find(key) != nullptr;
+          jitter = self->state_.random.unit();
+        }
+        if (!is_held) {
+          self->read_after(key, from_seconds(seconds(retry_delay) * (1 + jitter)));
+        }
+      });
+}
+
+void control_path::read_after(const std::string& key, duration delay) {
+  const std::shared_ptr<boost::asio::steady_timer> timer =
+      std::make_shared<boost::asio::steady_timer>(workers_, delay);
+  timer->async_wait([self = shared_from_this(), timer, key](const boost::system::error_code& error) {
+    if (!error) {
+      self->read(key);
+    }
+  });
+}
+
+void control_path::watch(const std::string& key) {
+  std::uint64_t revision = 0;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    if (!watched_.insert(key).second) {
+      return;
+    }
+    const membership::document* const held = state_.documents.find(key);
+    revision = held == nullptr ? 0 : held->stamp.revision;
+  }
+  state_.counts.add("configuration_reads");
+  configuration_.watch(
+      key, revision, state_.settings.platform.watch,
+      [self = shared_from_this(),
+       key](const result<platform::configuration_value, platform::configuration_error>& outcome) {
+        self->on_value(key, outcome);
+        // The next watch begins at the next tick; after an error it waits.
+        const duration pause = succeeded(outcome) ? duration{} : retry_delay;
+        const std::shared_ptr<boost::asio::steady_timer> timer =
+            std::make_shared<boost::asio::steady_timer>(self->workers_, pause);
+        timer->async_wait([self, timer, key](const boost::system::error_code&) {
+          const std::lock_guard<std::mutex> lock(self->state_.mutex);
+          self->watched_.erase(key);
+        });
+      });
+}
+
+void control_path::on_value(
+    const std::string& key,
+    const result<platform::configuration_value, platform::configuration_error>& outcome) {
+  if (!succeeded(outcome)) {
+    return;
+  }
+  const platform::configuration_value& value = std::get<platform::configuration_value>(outcome);
+  bool is_news = false;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    state_.gossip.on_heard(state_.clock.now());
+    is_news = !value.is_unchanged && take(key, value.revision, value.body);
+    // Without peers there is nobody else to ask.
+    if (key == rules_key && state_.gossip.peers().empty()) {
+      state_.revalidating_until = time_point{};
+    }
+  }
+  if (is_news) {
+    spread_news();
+  }
+}
+
+bool control_path::take(const std::string& key, std::uint64_t revision, const std::string& body) {
+  if (key == rules_key) {
+    return take_rules(revision, body);
+  }
+  return key.compare(0, std::string(hosts_prefix).size(), hosts_prefix) == 0 &&
+         take_hosts(key, revision, body);
+}
+
+bool control_path::take_rules(std::uint64_t revision, const std::string& body) {
+  const rules::rules_verdict verdict = state_.rules.offer(body, revision);
+  const rules::rules_order& order = state_.rules.order();
+  switch (verdict.what) {
+    case rules::rules_verdict::kind::same:
+    case rules::rules_verdict::kind::stale:
+      return false;
+    case rules::rules_verdict::kind::bad: {
+      const std::string errors = rules::to_text(verdict.errors.front(), rules_key) + " (" +
+                                 std::to_string(verdict.errors.size()) + " in all)";
+      state_.events.add(observe::event_kind::rules_refused, {}, rules_key, errors);
+      observe::log_event(observe::log_level::warning, "rules-refused", {{"errors", errors}});
+      return false;
+    }
+    case rules::rules_verdict::kind::rollback: {
+      const std::string detail = "an older version was published; kept " + std::to_string(order.version) +
+                                 "; lines that would have gone: " + list_rules(verdict.removed);
+      state_.events.add(observe::event_kind::rules_refused, {}, rules_key, detail);
+      observe::log_event(observe::log_level::warning, "rules-refused", {{"reason", detail}});
+      return false;
+    }
+    case rules::rules_verdict::kind::accepted:
+      break;
+  }
+  state_.documents.merge({{rules_key, order.version, order.revision, order.hash}, body});
+  state_.gate.reset();
+  state_.touched.clear();
+  state_.rules_since = std::chrono::system_clock::now();
+  state_.endpoints.apply_rules(*state_.rules.table());
+  std::string detail = "version " + std::to_string(order.version);
+  if (!verdict.removed.empty()) {
+    detail += "; lines that went: " + list_rules(verdict.removed);
+  }
+  state_.events.add(observe::event_kind::rules_in_force, {}, rules_key, detail);
+  observe::log_event(observe::log_level::info, "rules-in-force", {{"detail", detail}});
+  return true;
+}
+
+bool control_path::take_hosts(const std::string& key, std::uint64_t revision, const std::string& body) {
+  const result<membership::host_list, membership::host_list_error> parsed = membership::parse_host_list(body);
+  if (!succeeded(parsed)) {
+    observe::log_event(observe::log_level::warning, "hosts-refused",
+                       {{"key", key}, {"error", std::get<membership::host_list_error>(parsed).message}});
+    return false;
+  }
+  const membership::host_list& list = std::get<membership::host_list>(parsed);
+  if (!state_.documents.merge({{key, list.revision, revision, hash_text(body)}, body})) {
+    return false;
+  }
+  const std::string service = key.substr(std::string(hosts_prefix).size());
+  state_.sender.set_endpoints(service, state_.endpoints.apply(service, list, *state_.rules.table()));
+  update_peers();
+  if (service == state_.settings.identity.service) {
+    const std::vector<std::string> readers = membership::choose_readers(
+        list, static_cast<std::size_t>(state_.settings.platform.readers_per_service));
+    is_reader_ = std::count(readers.begin(), readers.end(), state_.settings.identity.host) != 0;
+  }
+  return true;
+}
+
+void control_path::update_peers() {
+  std::vector<std::string> services = state_.settings.identity.calls;
+  services.push_back(state_.settings.identity.service);
+  std::set<std::string> addresses;
+  for (const std::string& service : services) {
+    const std::vector<policy::endpoint_ptr>* const endpoints = state_.sender.endpoints(service);
+    if (endpoints == nullptr) {
+      continue;
+    }
+    for (const policy::endpoint_ptr& known : *endpoints) {
+      if (known->host != state_.settings.identity.host) {
+        addresses.insert(known->address);
+      }
+    }
+  }
+  state_.gossip.set_peers({addresses.begin(), addresses.end()});
+}
+
+void control_path::exchange_with(const std::string& address, bool with_documents) {
+  protocol::peer_exchange offer = make_offer();
+  if (with_documents) {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    const membership::document* const held = state_.documents.find(rules_key);
+    if (held != nullptr) {
+      offer.documents.push_back(*held);
+    }
+  }
+  state_.counts.add("exchanges");
+  peers_.exchange(address, std::move(offer),
+                  [self = shared_from_this(),
+                   address](const result<protocol::peer_exchange, protocol::peer_error>& outcome) {
+                    if (succeeded(outcome)) {
+                      self->on_reply(address, std::get<protocol::peer_exchange>(outcome));
+                    }
+                  });
+}
+
+void control_path::on_reply(const std::string& address, const protocol::peer_exchange& reply) {
+  const bool is_news = merge(reply);
+  bool peer_lacks_something = false;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    peer_lacks_something = !state_.documents.newer_than(reply.digest).empty();
+    state_.revalidating_until = time_point{};
+  }
+  if (is_news) {
+    boost::asio::post(workers_, [self = shared_from_this()]() { self->spread_news(); });
+  } else if (peer_lacks_something) {
+    boost::asio::post(workers_,
+                      [self = shared_from_this(), address]() { self->exchange_with(address, true); });
+  }
+}
+
+protocol::peer_exchange control_path::make_offer() const {
+  protocol::peer_exchange offer;
+  const std::lock_guard<std::mutex> lock(state_.mutex);
+  offer.self = {state_.settings.identity.host, state_.incarnation, state_.leaving};
+  offer.digest = state_.documents.digest();
+  offer.marks = state_.crashes.marks(state_.clock.now());
+  offer.stamp = state_.stamps.next();
+
+  // Name what is wanted and not held yet.
+  std::vector<std::string> wanted = {rules_key, hosts_key(state_.settings.identity.service)};
+  for (const std::string& service : state_.settings.identity.calls) {
+    wanted.push_back(hosts_key(service));
+  }
+  for (const std::string& key : wanted) {
+    if (state_.documents.find(key) == nullptr) {
+      offer.digest.push_back(membership::document_table::wanted(key));
+    }
+  }
+  return offer;
+}
+
+bool control_path::merge(const protocol::peer_exchange& from) {
+  state_.stamps.merge(from.stamp);
+  const std::lock_guard<std::mutex> lock(state_.mutex);
+  const time_point now = state_.clock.now();
+  state_.endpoints.on_report(from.self);
+  state_.gossip.on_heard(now);
+  bool is_news = false;
+  for (const membership::document& offered : from.documents) {
+    is_news = take(offered.stamp.key, offered.stamp.revision, offered.body) || is_news;
+  }
+  for (const policy::crash_mark& mark : from.marks) {
+    if (state_.crashes.merge(mark, now)) {
+      is_news = true;
+      state_.events.add(observe::event_kind::quarantine, {}, std::to_string(mark.fingerprint),
+                        "a peer tells of " + std::to_string(mark.crashes) + " crashes");
+    }
+  }
+  return is_news;
+}
+
+}  // namespace nutmegarch::node
--- /dev/null
+++ b/nutmegarch/node/inbound_path.cpp
@@ -0,0 +1,473 @@
+#include "nutmegarch/node/inbound_path.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "nutmegarch/core/hash.h"
+#include "nutmegarch/http/address.h"
+#include "nutmegarch/node/header_names.h"
+
+namespace nutmegarch::node {
+
+namespace {
+
+/// Key of a request id in look-up tables.
+std::uint64_t id_key(const request_id& id) { return hash_number(id.low, id.high); }
+
+std::string describe(const rules::rule& refused_by) {
+  return refused_by.text + " (line " + std::to_string(refused_by.line) + ", who: " + refused_by.who +
+         ", why: " + refused_by.why + ")";
+}
+
+}  // namespace
+
+inbound_path::inbound_path(node_state& state, boost::asio::io_context& workers)
+    : state_(state),
+      target_(workers, *http::parse_address(state.settings.target.address),
+              state.settings.target.connections) {}
+
+std::uint64_t inbound_path::offer(protocol::peer_call call, reply answer) {
+  state_.stamps.merge(call.stamp);
+  work todo;
+  std::uint64_t key = 0;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    const time_point now = state_.clock.now();
+    key = next_key_++;
+    entry made;
+    made.request = call.request;
+    std::optional<protocol::peer_answer> refused = refuse_early(call, answer, made, now);
+    if (refused) {
+      fill_report(*refused, call.context.route);
+      state_.counts.on_inbound(call.context.cls, refused->outcome, refused->reason, duration{});
+      if (refused->outcome != call_outcome::ok) {
+        state_.events.add(
+            observe::event_kind::call_shed, call.context.id, call.context.route,
+            std::string(name_of(refused->reason)) + (refused->rule.empty() ? "" : " by " + refused->rule));
+      }
+      todo.answers.push_back({answer, std::move(*refused)});
+    } else if (!made.waits_for_first) {
+      made.call = policy::inbound_call_ptr(new policy::inbound_call());
+      made.call->key = key;
+      made.call->context = call.context;
+      made.call->arrived = now;
+      made.call->deadline = call.context.remaining >= state_.settings.calls.longest_timeout
+                                ? never
+                                : now + call.context.remaining;
+      made.ledger = policy::retry_ledger_ptr(new policy::retry_ledger(call.context.retry_tokens));
+      made.answer = std::move(answer);
+      const policy::inbound_call_ptr offered = made.call;
+      by_request_[id_key(call.context.id)] = key;
+      calls_.emplace(key, std::move(made));
+      policy::receiver_actions actions;
+      state_.receiver.offer(offered, now, actions);
+      if (offered->phase == policy::inbound_phase::waiting) {
+        state_.events.add(observe::event_kind::call_queued, call.context.id, call.context.route, "");
+      }
+      take(actions, todo);
+    }
+  }
+  run(todo);
+  return key;
+}
+
+void inbound_path::cancel(std::uint64_t key) {
+  work todo;
+  std::uint64_t exchange = 0;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    auto found = calls_.find(key);
+    if (found == calls_.end()) {
+      return;
+    }
+    found->second.is_cancelled = true;
+    if (found->second.call->phase == policy::inbound_phase::running) {
+      exchange = found->second.exchange;
+    } else {
+      policy::receiver_actions actions;
+      state_.receiver.cancel(found->second.call, state_.clock.now(), actions);
+      take(actions, todo);
+    }
+  }
+  run(todo);
+  if (exchange != 0) {
+    target_.cancel(exchange);
+    on_target_answer(key, http::client_error::timed_out);
+  }
+}
+
+protocol::peer_answer inbound_path::issue_ticket(const protocol::peer_call& call) {
+  const std::lock_guard<std::mutex> lock(state_.mutex);
+  const time_point now = state_.clock.now();
+  protocol::peer_answer content = refusal(call_outcome::not_run, call_reason::ticket_required);
+  if (state_.receiver.leaving() || state_.is_revalidating(now)) {
+    content.reason = state_.receiver.leaving() ? call_reason::leaving : call_reason::revalidating;
+  } else {
+    const result<order_ticket, policy::ticket_error> issued = state_.orders.issue(now);
+    if (succeeded(issued)) {
+      content.ticket = std::get<order_ticket>(issued);
+      state_.events.add(observe::event_kind::ticket_issued, call.context.id, call.context.route,
+                        policy::to_text(*content.ticket));
+    } else {
+      content.reason = call_reason::registry_full;
+    }
+  }
+  fill_report(content, call.context.route);
+  return content;
+}
+
+void inbound_path::on_time() {
+  work todo;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    const admission_level before = state_.receiver.level();
+    policy::receiver_actions actions;
+    state_.receiver.on_time(state_.clock.now(), actions);
+    take(actions, todo);
+    const admission_level after = state_.receiver.level();
+    if (!(before == after)) {
+      state_.events.add(observe::event_kind::level_changed, {}, state_.settings.identity.service,
+                        std::to_string(before.cutoff) + " to " + std::to_string(after.cutoff));
+    }
+  }
+  run(todo);
+}
+
+std::optional<parent_call> inbound_path::find_parent(const request_id& id) const {
+  auto key = by_request_.find(id_key(id));
+  if (key == by_request_.end()) {
+    return std::nullopt;
+  }
+  auto found = calls_.find(key->second);
+  if (found == calls_.end() || found->second.call->phase != policy::inbound_phase::running) {
+    return std::nullopt;
+  }
+  return parent_call{found->second.call->context, found->second.ledger, found->second.call->deadline};
+}
+
+void inbound_path::note_child(const request_id& parent, const std::string& service,
+                              const std::string& route) {
+  const std::optional<parent_call> found = find_parent(parent);
+  if (found) {
+    state_.downstream.on_called(found->context.route, service, route);
+  }
+}
+
+bool inbound_path::is_idle() const {
+  const std::lock_guard<std::mutex> lock(state_.mutex);
+  return calls_.empty();
+}
+
+std::optional<protocol::peer_answer> inbound_path::refuse_early(const protocol::peer_call& call,
+                                                                const reply& answer, entry& made,
+                                                                time_point now) {
+  if (state_.settings.pass_through) {
+    return std::nullopt;
+  }
+  const call_context& context = call.context;
+  const std::string path = context.route.substr(context.route.find(' ') + 1);
+  const std::shared_ptr<const rules::rule_table> table = state_.rules.table();
+  const rules::call_rules found = table->find({context.service, path, context.caller});
+
+  // An order runs only under a ticket of this incarnation.
+  if (found.order != nullptr && !context.ticket && !context.idempotent) {
+    return refusal(call_outcome::not_run, call_reason::ticket_required);
+  }
+  if (context.ticket) {
+    std::optional<protocol::peer_answer> decided = check_ticket(context, answer, made, now);
+    if (decided || made.waits_for_first) {
+      return decided;
+    }
+  }
+
+  // From here on the ticket, if there is one, is held by this call: a refusal seals it.
+  const std::function<protocol::peer_answer(call_reason)> refuse = [&](call_reason reason) {
+    if (context.ticket) {
+      state_.orders.seal(*context.ticket, now);
+    }
+    return refusal(call_outcome::not_run, reason);
+  };
+  if (state_.is_revalidating(now)) {
+    return refuse(call_reason::revalidating);
+  }
+  const rules::rule* const quarantine = table->find_quarantine(context.fingerprint);
+  if (quarantine != nullptr) {
+    protocol::peer_answer content = refuse(call_reason::quarantined);
+    content.rule = describe(*quarantine);
+    ++state_.touched[quarantine->line];
+    return content;
+  }
+  state_.crashes.merge({context.fingerprint, context.crash_count}, now);
+  if (state_.crashes.refused(context.fingerprint, now)) {
+    return refuse(call_reason::quarantined);
+  }
+  const policy::gate_verdict gate =
+      state_.gate.enter(found, context.cls, state_.receiver.load(), live_targets(), now);
+  if (gate.refused_by != nullptr) {
+    protocol::peer_answer content = refuse(gate.reason);
+    content.rule = describe(*gate.refused_by);
+    ++state_.touched[gate.refused_by->line];
+    return content;
+  }
+  made.table = table;
+  made.rules = found;
+  return std::nullopt;
+}
+
+std::optional<protocol::peer_answer> inbound_path::check_ticket(const call_context& context,
+                                                                const reply& answer, entry& made,
+                                                                time_point now) {
+  policy::order_verdict verdict = state_.orders.arrive(*context.ticket, now);
+  switch (verdict.what) {
+    case policy::order_verdict::kind::run:
+      return std::nullopt;
+    case policy::order_verdict::kind::wait:
+      // Answered together with the first copy; until then this copy has no answer of its own.
+      order_waiters_[context.ticket->sequence].push_back(answer);
+      made.waits_for_first = true;
+      return std::nullopt;
+    case policy::order_verdict::kind::answered: {
+      if (verdict.answer->body_dropped) {
+        return refusal(call_outcome::unknown, call_reason::registry_full);
+      }
+      protocol::peer_answer content = refusal(call_outcome::ok, call_reason::none);
+      content.message.status = verdict.answer->status;
+      content.message.fields = {{"Content-Type", verdict.answer->content_type}};
+      content.message.body = verdict.answer->body;
+      return content;
+    }
+    case policy::order_verdict::kind::sealed:
+      return refusal(call_outcome::not_run, verdict.reason);
+    case policy::order_verdict::kind::unknown:
+    case policy::order_verdict::kind::not_ours:
+      break;
+  }
+  return refusal(call_outcome::unknown, verdict.reason);
+}
+
+void inbound_path::take(const policy::receiver_actions& actions, work& todo) {
+  for (const policy::receiver_action& action : actions) {
+    if (action.what == policy::receiver_action::kind::start) {
+      state_.downstream.on_started(action.call->context.route);
+      todo.starts.push_back(action.call);
+      continue;
+    }
+    if (action.call->context.ticket) {
+      state_.orders.seal(*action.call->context.ticket, state_.clock.now());
+    }
+    state_.events.add(observe::event_kind::call_shed, action.call->context.id, action.call->context.route,
+                      name_of(action.reason));
+    end(action.call->key, refusal(call_outcome::not_run, action.reason), todo);
+  }
+}
+
+void inbound_path::end(std::uint64_t key, protocol::peer_answer content, work& todo) {
+  auto found = calls_.find(key);
+  entry ended = std::move(found->second);
+  calls_.erase(found);
+  auto by_request = by_request_.find(id_key(ended.call->context.id));
+  if (by_request != by_request_.end() && by_request->second == key) {
+    by_request_.erase(by_request);
+  }
+  if (ended.table && ended.table == state_.rules.table()) {
+    state_.gate.leave(ended.rules);
+  }
+  const call_context& context = ended.call->context;
+  content.tokens_back = ended.ledger->tokens();
+  fill_report(content, context.route);
+  state_.counts.on_inbound(context.cls, content.outcome, content.reason,
+                           state_.clock.now() - ended.call->arrived);
+
+  // Repeats of an order get the same answer.
+  if (context.ticket) {
+    auto waiters = order_waiters_.find(context.ticket->sequence);
+    if (waiters != order_waiters_.end()) {
+      for (reply& waiter : waiters->second) {
+        todo.answers.push_back({std::move(waiter), content});
+      }
+      order_waiters_.erase(waiters);
+    }
+  }
+  todo.answers.push_back({std::move(ended.answer), std::move(content)});
+}
+
+void inbound_path::run(work& todo) {
+  // Peers learn of a crash before the caller can send the request again.
+  if (todo.tell_of_crash && crash_listener_) {
+    crash_listener_();
+  }
+  for (const policy::inbound_call_ptr& call : todo.starts) {
+    start(call);
+  }
+  for (due_answer& answer : todo.answers) {
+    answer.content.stamp = state_.stamps.next();
+    answer.to(std::move(answer.content));
+  }
+}
+
+void inbound_path::start(const policy::inbound_call_ptr& call) {
+  request_message request;
+  duration patience{};
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    auto found = calls_.find(call->key);
+    if (found == calls_.end()) {
+      return;
+    }
+    const time_point now = state_.clock.now();
+    request = to_target(found->second, now);
+    patience = call->deadline == never ? state_.settings.calls.longest_timeout : call->deadline - now;
+    state_.events.add(observe::event_kind::call_started, call->context.id, call->context.route, "");
+  }
+  const std::uint64_t exchange = target_.send(
+      request, patience,
+      [self = shared_from_this(), key = call->key](result<answer_message, http::client_error> outcome) {
+        self->on_target_answer(key, std::move(outcome));
+      });
+
+  // The call may have been cancelled before the exchange had its number.
+  bool is_cancelled = false;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    auto found = calls_.find(call->key);
+    if (found != calls_.end()) {
+      found->second.exchange = exchange;
+      is_cancelled = found->second.is_cancelled;
+    }
+  }
+  if (is_cancelled) {
+    cancel(call->key);
+  }
+}
+
+void inbound_path::on_target_answer(std::uint64_t key, result<answer_message, http::client_error> outcome) {
+  work todo;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    auto found = calls_.find(key);
+    if (found == calls_.end() || found->second.call->phase != policy::inbound_phase::running) {
+      return;
+    }
+    const time_point now = state_.clock.now();
+    policy::target_result target = policy::target_result::answered;
+    protocol::peer_answer content = interpret(found->second, outcome, target);
+    settle_order(found->second, content, now);
+
+    // A connection that ends in the middle of a call may mean that the call has crashed the target.
+    const call_context& context = found->second.call->context;
+    if (content.outcome == call_outcome::ok) {
+      state_.crashes.on_success(context.fingerprint, now);
+    } else if (content.reason == call_reason::connection_lost && !found->second.is_cancelled) {
+      state_.crashes.on_crash(context.fingerprint, now);
+      todo.tell_of_crash = true;
+      state_.events.add(
+          observe::event_kind::target_crashed, context.id, context.route,
+          "crashes of this request: " + std::to_string(state_.crashes.crashes(context.fingerprint, now)));
+    }
+    state_.events.add(observe::event_kind::call_answered, context.id, context.route,
+                      name_of(content.outcome));
+    policy::receiver_actions actions;
+    state_.receiver.finish(found->second.call, target, now, actions);
+    end(key, std::move(content), todo);
+    take(actions, todo);
+  }
+  run(todo);
+}
+
+protocol::peer_answer inbound_path::interpret(const entry& ended,
+                                              result<answer_message, http::client_error>& outcome,
+                                              policy::target_result& target) const {
+  if (succeeded(outcome)) {
+    protocol::peer_answer content;
+    content.message = std::get<answer_message>(std::move(outcome));
+    const int status = content.message.status;
+    content.outcome = status < 500 ? call_outcome::ok : call_outcome::failed;
+    content.reason = status < 500 ? call_reason::none : call_reason::target_error;
+    if (status == 503) {
+      // The target sheds. It has seen the call, so it can't count as not run.
+      target = policy::target_result::refused;
+      content.outcome = ended.call->context.idempotent ? call_outcome::unknown : call_outcome::failed;
+    }
+    return content;
+  }
+  target = policy::target_result::lost;
+  switch (std::get<http::client_error>(outcome)) {
+    case http::client_error::unreachable:
+      return refusal(call_outcome::not_run, call_reason::no_target);
+    case http::client_error::lost:
+      return refusal(call_outcome::unknown, call_reason::connection_lost);
+    case http::client_error::timed_out:
+      return refusal(call_outcome::unknown,
+                     ended.is_cancelled ? call_reason::cancelled : call_reason::deadline);
+    case http::client_error::too_large:
+    case http::client_error::malformed:
+      break;
+  }
+  return refusal(call_outcome::unknown, call_reason::target_error);
+}
+
+void inbound_path::settle_order(const entry& ended, const protocol::peer_answer& content, time_point now) {
+  if (!ended.call->context.ticket) {
+    return;
+  }
+  const order_ticket& ticket = *ended.call->context.ticket;
+  switch (content.outcome) {
+    case call_outcome::ok:
+    case call_outcome::failed:
+      state_.orders.set_answer(ticket,
+                               {content.message.status, find_header(content.message.fields, "Content-Type"),
+                                content.message.body, false},
+                               now);
+      break;
+    case call_outcome::not_run:
+      state_.orders.seal(ticket, now);
+      break;
+    case call_outcome::unknown:
+      state_.orders.set_unknown(ticket, now);
+      state_.events.add(observe::event_kind::order_unknown, ended.call->context.id, policy::to_text(ticket),
+                        name_of(content.reason));
+      break;
+  }
+}
+
+protocol::peer_answer inbound_path::refusal(call_outcome outcome, call_reason reason) const {
+  protocol::peer_answer content;
+  content.outcome = outcome;
+  content.reason = reason;
+  return content;
+}
+
+void inbound_path::fill_report(protocol::peer_answer& content, const std::string& route) const {
+  const time_point now = state_.clock.now();
+  content.report = {state_.receiver.load(), state_.receiver.level(), state_.receiver.leaving(),
+                    state_.incarnation};
+  content.route_level = state_.downstream.level_below(route, state_.sender, now);
+  content.calls_on = !state_.settings.identity.calls.empty();
+}
+
+request_message inbound_path::to_target(const entry& started, time_point now) const {
+  request_message request = *started.request;
+  const call_context& context = started.call->context;
+  set_header(request.fields, header_names::traceparent,
+             "00-" + observe::to_text(context.id) + "-" +
+                 observe::to_text({0, hash_number(started.call->key)}).substr(16) + "-01");
+  if (started.call->deadline != never) {
+    const duration remaining = std::max(duration{}, started.call->deadline - now);
+    set_header(
+        request.fields, header_names::timeout,
+        std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count()) + "ms");
+  }
+  return request;
+}
+
+int inbound_path::live_targets() const {
+  const std::vector<policy::endpoint_ptr>* const endpoints =
+      state_.sender.endpoints(state_.settings.identity.service);
+  if (endpoints == nullptr) {
+    return 1;
+  }
+  return static_cast<int>(std::count_if(endpoints->begin(), endpoints->end(),
+                                        [](const policy::endpoint_ptr& known) { return !known->leaving(); }));
+}
+
+}  // namespace nutmegarch::node
--- /dev/null
+++ b/nutmegarch/node/inbound_path.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "nutmegarch/http/client_pool.h"
+#include "nutmegarch/node/node_state.h"
+#include "nutmegarch/protocol/peer_messages.h"
+
+namespace nutmegarch::node {
+
+/// What a child call takes over from the inbound call that its target runs.
+struct parent_call {
+  call_context context;
+  policy::retry_ledger_ptr ledger;
+  time_point deadline = never;
+};
+
+/// Calls for the target beside this node: admission, the hand-over to the target, and the answer.
+class inbound_path final : public std::enable_shared_from_this<inbound_path> {
+ public:
+  using reply = std::function<void(protocol::peer_answer)>;
+
+  inbound_path(node_state& state, boost::asio::io_context& workers);
+
+  /// Sets what is told when a call may have crashed the target. Before the first call.
+  void set_crash_listener(std::function<void()> listener) { crash_listener_ = std::move(listener); }
+
+  /// A call has arrived from a peer or from this node's own callers. Returns its key, for cancel().
+  /// `answer` is called once, on any thread.
+  std::uint64_t offer(protocol::peer_call call, reply answer);
+  /// Nobody waits for the call any more.
+  void cancel(std::uint64_t key);
+  /// Issues a ticket for an order that is to run here.
+  protocol::peer_answer issue_ticket(const protocol::peer_call& call);
+  /// Lets time pass for waiting calls.
+  void on_time();
+  /// Closes idle connections to the target, since they may be dead.
+  void drop_idle() { target_.drop_idle(); }
+
+  /// The running call with this request id; nothing when there is none. Holds the state's lock.
+  std::optional<parent_call> find_parent(const request_id& id) const;
+  /// The parent's target calls `service` on `route`. Holds the state's lock.
+  void note_child(const request_id& parent, const std::string& service, const std::string& route);
+  /// True when no call runs or waits. Takes the state's lock.
+  bool is_idle() const;
+  /// Calls that are here now. Holds the state's lock.
+  std::size_t size() const { return calls_.size(); }
+
+ private:
+  struct entry {
+    policy::inbound_call_ptr call;
+    std::shared_ptr<const request_message> request;
+    reply answer;
+    policy::retry_ledger_ptr ledger;
+    /// The rules and the table that they live in; null when the call did not enter the gate.
+    std::shared_ptr<const rules::rule_table> table;
+    rules::call_rules rules;
+    /// Number of the exchange with the target; 0 before it has begun.
+    std::uint64_t exchange = 0;
+    bool is_cancelled = false;
+    /// It repeats an order that runs, and is answered with it.
+    bool waits_for_first = false;
+  };
+
+  /// An answer that is due once the lock is released.
+  struct due_answer {
+    reply to;
+    protocol::peer_answer content;
+  };
+
+  /// What is to be done once the lock is released.
+  struct work {
+    std::vector<policy::inbound_call_ptr> starts;
+    std::vector<due_answer> answers;
+    bool tell_of_crash = false;
+  };
+
+  /// The answer of a call that is not offered to the receiver; nothing when it is, or when it waits for the
+  /// first.
+  std::optional<protocol::peer_answer> refuse_early(const protocol::peer_call& call, const reply& answer,
+                                                    entry& made, time_point now);
+  std::optional<protocol::peer_answer> check_ticket(const call_context& context, const reply& answer,
+                                                    entry& made, time_point now);
+  void take(const policy::receiver_actions& actions, work& todo);
+  void end(std::uint64_t key, protocol::peer_answer content, work& todo);
+  void run(work& todo);
+  void start(const policy::inbound_call_ptr& call);
+  void on_target_answer(std::uint64_t key, result<answer_message, http::client_error> outcome);
+  protocol::peer_answer interpret(const entry& ended, result<answer_message, http::client_error>& outcome,
+                                  policy::target_result& target) const;
+  void settle_order(const entry& ended, const protocol::peer_answer& content, time_point now);
+  protocol::peer_answer refusal(call_outcome outcome, call_reason reason) const;
+  void fill_report(protocol::peer_answer& content, const std::string& route) const;
+  request_message to_target(const entry& started, time_point now) const;
+  int live_targets() const;
+
+  node_state& state_;
+  http::client_pool target_;
+  std::function<void()> crash_listener_;
+
+  /// Guarded by the state's lock.
+  std::unordered_map<std::uint64_t, entry> calls_;
+  std::unordered_map<std::uint64_t, std::uint64_t> by_request_;
+  /// Repeats of an order that runs, by the sequence of its ticket.
+  std::unordered_map<std::uint64_t, std::vector<reply>> order_waiters_;
+  std::uint64_t next_key_ = 1;
+};
+
+}  // namespace nutmegarch::node
--- /dev/null
+++ b/nutmegarch/node/node.cpp
@@ -0,0 +1,192 @@
+#include "nutmegarch/node/node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace nutmegarch::node {
+
+namespace {
+
+/// Time between two ticks while calls are open, and while none is.
+constexpr duration busy_tick = std::chrono::milliseconds(2);
+constexpr duration idle_tick = std::chrono::milliseconds(20);
+
+}  // namespace
+
+node::node(const node_settings& settings, std::uint64_t incarnation, std::uint64_t seed)
+    : state_(settings, incarnation, seed),
+      workers_(settings.identity.workers),
+      work_(workers_.get_executor()),
+      peers_(settings.peers),
+      inbound_(std::make_shared<inbound_path>(state_, workers_)),
+      outbound_(std::make_shared<outbound_path>(state_, inbound_, peers_)),
+      control_(std::make_shared<control_path>(state_, workers_, peers_)),
+      admin_(state_, *inbound_, *outbound_),
+      callers_server_(workers_, settings.callers, *outbound_),
+      admin_server_(workers_, {}, admin_),
+      timer_(workers_) {
+  inbound_->set_crash_listener([this]() { control_->spread_news(); });
+}
+
+node::~node() {
+  peers_.stop();
+  workers_.stop();
+  wait();
+}
+
+std::string node::start() {
+  const listen_settings& listen = state_.settings.listen;
+  if (!peers_.start(listen.peers, *this)) {
+    return "can't listen for peers on " + listen.peers;
+  }
+  if (!callers_server_.start(listen.callers)) {
+    return "can't listen for callers on " + listen.callers;
+  }
+  if (!admin_server_.start(listen.admin)) {
+    return "can't listen for administration on " + listen.admin;
+  }
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    state_.revalidating_until = state_.clock.now() + state_.settings.lifecycle.revalidation;
+  }
+  state_.events.add(observe::event_kind::node_started, {}, state_.settings.identity.host, "");
+  last_tick_ = state_.clock.now();
+  control_->start();
+  schedule_tick();
+  for (int i = 0; i < state_.settings.identity.workers; ++i) {
+    threads_.emplace_back([this]() { workers_.run(); });
+  }
+  return {};
+}
+
+void node::leave() { leave_requested_ = true; }
+
+void node::wait() {
+  for (std::thread& thread : threads_) {
+    if (thread.joinable()) {
+      thread.join();
+    }
+  }
+}
+
+void node::on_call(std::uint64_t exchange, protocol::peer_call call) {
+  // The reply may come before offer() returns; then the exchange is not kept.
+  const std::shared_ptr<std::atomic<bool>> is_answered = std::make_shared<std::atomic<bool>>(false);
+  const std::uint64_t key =
+      inbound_->offer(std::move(call), [this, exchange, is_answered](protocol::peer_answer content) {
+        *is_answered = true;
+        {
+          const std::lock_guard<std::mutex> lock(exchanges_mutex_);
+          exchanges_.erase(exchange);
+        }
+        peers_.answer(exchange, std::move(content));
+      });
+  const std::lock_guard<std::mutex> lock(exchanges_mutex_);
+  if (!*is_answered) {
+    exchanges_[exchange] = key;
+  }
+}
+
+void node::on_cancel(std::uint64_t exchange) {
+  std::uint64_t key = 0;
+  {
+    const std::lock_guard<std::mutex> lock(exchanges_mutex_);
+    auto found = exchanges_.find(exchange);
+    if (found == exchanges_.end()) {
+      return;
+    }
+    key = found->second;
+    exchanges_.erase(found);
+  }
+  inbound_->cancel(key);
+}
+
+void node::on_ticket_request(std::uint64_t exchange, protocol::peer_call call) {
+  peers_.answer(exchange, inbound_->issue_ticket(call));
+}
+
+protocol::peer_exchange node::on_exchange(protocol::peer_exchange offer) {
+  return control_->on_exchange(offer);
+}
+
+void node::schedule_tick() {
+  bool is_busy = false;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    is_busy = inbound_->size() + outbound_->size() > 0;
+  }
+  timer_.expires_after(is_busy ? busy_tick : idle_tick);
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      tick();
+    }
+  });
+}
+
+void node::tick() {
+  // A timer that fires late means that the process stood still, and its view is old.
+  const time_point now = state_.clock.now();
+  const duration gap = now - last_tick_;
+  last_tick_ = now;
+  if (gap > state_.settings.lifecycle.pause_bound) {
+    on_pause(gap);
+  }
+  inbound_->on_time();
+  outbound_->on_time();
+  control_->on_time();
+  step_leaving(now);
+  if (!finished_) {
+    schedule_tick();
+  }
+}
+
+void node::on_pause(duration length) {
+  state_.events.add(
+      observe::event_kind::pause_found, {}, state_.settings.identity.host,
+      std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(length).count()) + " ms");
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    state_.sender.forget_reports();
+    state_.revalidating_until = state_.clock.now() + state_.settings.lifecycle.revalidation;
+  }
+  inbound_->drop_idle();
+  peers_.drop_connections();
+  control_->revalidate();
+}
+
+void node::step_leaving(time_point now) {
+  if (!leave_requested_) {
+    return;
+  }
+  if (leave_began_ == time_point{}) {
+    leave_began_ = now;
+    {
+      const std::lock_guard<std::mutex> lock(state_.mutex);
+      state_.leaving = true;
+      state_.receiver.start_leaving();
+    }
+    state_.events.add(observe::event_kind::leaving, {}, state_.settings.identity.host, "");
+    observe::log_event(observe::log_level::info, "leaving", {{"host", state_.settings.identity.host}});
+    control_->announce_leaving();
+    return;
+  }
+  const bool is_idle = inbound_->is_idle() && outbound_->is_idle();
+  const bool is_over = is_idle && now - leave_began_ >= state_.settings.lifecycle.leave_grace;
+  if (is_over || now - leave_began_ >= state_.settings.lifecycle.longest_leave) {
+    finish();
+  }
+}
+
+void node::finish() {
+  finished_ = true;
+  callers_server_.stop();
+  admin_server_.stop();
+  // Answers that were just given are still on their way out.
+  timer_.expires_after(std::chrono::milliseconds(200));
+  timer_.async_wait([this](const boost::system::error_code&) {
+    peers_.stop();
+    workers_.stop();
+  });
+}
+
+}  // namespace nutmegarch::node
--- /dev/null
+++ b/nutmegarch/node/node.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "nutmegarch/node/admin_api.h"
+#include "nutmegarch/node/control_path.h"
+
+namespace nutmegarch::node {
+
+/// One node: its tables, its edges, its peers, and the timer that lets time pass. Many fit in one process.
+class node final : public protocol::peer_service {
+ public:
+  /// `incarnation` must be new for every start.
+  node(const node_settings& settings, std::uint64_t incarnation, std::uint64_t seed);
+  ~node() override;
+
+  /// Listens and begins to serve. Returns what went wrong; empty when all is well.
+  std::string start();
+  /// Begins a planned stop: no new work, what runs ends. Any thread may call it.
+  void leave();
+  /// Waits until the planned stop is over.
+  void wait();
+
+  void on_call(std::uint64_t exchange, protocol::peer_call call) override;
+  void on_cancel(std::uint64_t exchange) override;
+  void on_ticket_request(std::uint64_t exchange, protocol::peer_call call) override;
+  protocol::peer_exchange on_exchange(protocol::peer_exchange offer) override;
+
+ private:
+  void schedule_tick();
+  void tick();
+  void on_pause(duration length);
+  void step_leaving(time_point now);
+  void finish();
+
+  node_state state_;
+  boost::asio::io_context workers_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+  protocol::peer_network peers_;
+  std::shared_ptr<inbound_path> inbound_;
+  std::shared_ptr<outbound_path> outbound_;
+  std::shared_ptr<control_path> control_;
+  admin_api admin_;
+  http::server callers_server_;
+  http::server admin_server_;
+  boost::asio::steady_timer timer_;
+  std::vector<std::thread> threads_;
+
+  /// Used by the timer's handlers only, which run one after the other.
+  time_point last_tick_{};
+  time_point leave_began_{};
+  std::atomic<bool> leave_requested_{false};
+  bool finished_ = false;
+
+  /// Keys at the inbound path of the exchanges with peers. Guards the map; taken before no other lock.
+  std::mutex exchanges_mutex_;
+  std::unordered_map<std::uint64_t, std::uint64_t> exchanges_;
+};
+
+}  // namespace nutmegarch::node
--- /dev/null
+++ b/nutmegarch/node/node_settings.cpp
@@ -0,0 +1,133 @@
+#include "nutmegarch/node/node_settings.h"
+
+namespace nutmegarch::node {
+
+namespace {
+
+using std::chrono::hours;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+void read_identity(settings::json_reader& reader, node_settings& to) {
+  reader.read_text("/node/service", to.identity.service, true);
+  reader.read_text("/node/host", to.identity.host, true);
+  reader.read_text("/node/domain", to.identity.domain, true);
+  reader.read_text("/node/region", to.identity.region, true);
+  reader.read_texts("/node/calls", to.identity.calls);
+  reader.read_integer("/node/workers", to.identity.workers, 1, 64);
+  reader.read_flag("/node/pass_through", to.pass_through);
+  reader.read_address("/listen/callers", to.listen.callers, true);
+  reader.read_address("/listen/peers", to.listen.peers, true);
+  reader.read_address("/listen/admin", to.listen.admin, true);
+}
+
+void read_edges(settings::json_reader& reader, node_settings& to) {
+  reader.read_address("/target/address", to.target.address, true);
+  reader.read_integer("/target/slots", to.admission.slots, 1, 100'000);
+  reader.read_integer("/target/connections", to.target.connections.most_connections, 1, 100'000);
+  reader.read_duration("/target/connect_timeout", to.target.connections.connect_timeout, milliseconds(1),
+                       seconds(60));
+  reader.read_integer("/target/most_answer_bytes", to.target.connections.most_body_bytes, 1'024, 64 << 20);
+  reader.read_integer("/callers/most_body_bytes", to.callers.most_body_bytes, 1'024, 64 << 20);
+  reader.read_integer("/callers/most_head_bytes", to.callers.most_head_bytes, 1'024, 1 << 20);
+  reader.read_integer("/callers/most_connections", to.callers.most_connections, 1, 100'000);
+  reader.read_duration("/callers/idle_timeout", to.callers.idle_timeout, seconds(1), hours(1));
+  reader.read_duration("/calls/timeout", to.calls.timeout, milliseconds(1), minutes(10));
+  reader.read_duration("/calls/longest_timeout", to.calls.longest_timeout, milliseconds(1), hours(1));
+  reader.read_address("/platform/address", to.platform.address, true);
+  reader.read_integer("/platform/readers_per_service", to.platform.readers_per_service, 1, 100);
+  reader.read_duration("/platform/watch", to.platform.watch, seconds(1), minutes(5));
+}
+
+void read_admission(settings::json_reader& reader, policy::receiver_settings& to) {
+  reader.read_choice<policy::limit_kind>("/admission/limit", to.limit,
+                                         {{"fixed", policy::limit_kind::fixed},
+                                          {"aimd", policy::limit_kind::aimd},
+                                          {"gradient", policy::limit_kind::gradient}});
+  reader.read_choice<policy::queue_kind>("/admission/queue", to.queue,
+                                         {{"fifo", policy::queue_kind::fifo},
+                                          {"deadline", policy::queue_kind::deadline},
+                                          {"adaptive_lifo", policy::queue_kind::adaptive_lifo}});
+  reader.read_number("/admission/queue_share", to.queue_share, 0.01, 100);
+  reader.read_number("/admission/standing_share", to.standing_share, 0.01, 100);
+  reader.read_number("/admission/finish_quantile", to.finish_quantile, 0.01, 0.999);
+  reader.read_number("/admission/long_factor", to.long_factor, 1, 1'000);
+  reader.read_number("/admission/long_share", to.long_share, 0.01, 1);
+  reader.read_duration("/admission/level_interval", to.level.interval, milliseconds(1), seconds(10));
+  reader.read_number("/admission/level_decrease", to.level.decrease, 0.001, 1);
+  reader.read_number("/admission/level_increase", to.level.increase, 0.001, 1);
+}
+
+void read_routing(settings::json_reader& reader, policy::sender_settings& to) {
+  reader.read_choice<policy::routing_kind>("/routing/choice", to.routing,
+                                           {{"round_robin", policy::routing_kind::round_robin},
+                                            {"two_choices", policy::routing_kind::two_choices},
+                                            {"least_loaded", policy::routing_kind::least_loaded}});
+  reader.read_integer("/routing/retry_budget", to.retry_budget, 0, 100);
+  reader.read_integer("/routing/most_attempts", to.most_attempts, 1, 10);
+  reader.read_number("/routing/retries_per_success", to.retries.per_success, 0, 1);
+  reader.read_number("/routing/retry_burst", to.retries.capacity, 0, 10'000);
+  reader.read_number("/routing/hedges_per_success", to.hedges.per_success, 0, 1);
+  reader.read_number("/routing/hedge_burst", to.hedges.capacity, 0, 10'000);
+  reader.read_number("/routing/hedge_quantile", to.hedge_quantile, 0.5, 0.999);
+  reader.read_duration("/routing/level_lifetime", to.level_lifetime, milliseconds(10), minutes(1));
+  reader.read_integer("/routing/losses_to_eject", to.losses_to_eject, 1, 1'000);
+  reader.read_duration("/routing/ejection", to.ejection, milliseconds(10), minutes(10));
+  reader.read_duration("/routing/longest_ejection", to.longest_ejection, milliseconds(10), minutes(10));
+  reader.read_number("/routing/most_ejected_share", to.most_ejected_share, 0, 1);
+  reader.read_duration("/routing/slow_start", to.score.slow_start, milliseconds(1), minutes(10));
+  reader.read_number("/routing/link_bytes_per_second", to.link.rate, 0, 1e10);
+  reader.read_number("/routing/link_burst_bytes", to.link.capacity, 0, 1e10);
+  reader.read_number("/routing/link_kept_for_orders", to.link.kept_for_orders, 0, 1);
+}
+
+void read_fleet(settings::json_reader& reader, node_settings& to) {
+  reader.read_duration("/orders/lifetime", to.orders.lifetime, seconds(1), hours(24));
+  reader.read_integer("/orders/capacity", to.orders.capacity, 1, 10'000'000);
+  reader.read_integer("/orders/most_answer_bytes", to.orders.most_answer_bytes, 0, 1 << 20);
+  reader.read_integer("/orders/most_total_bytes", to.orders.most_total_bytes, 0, 1 << 30);
+  reader.read_integer("/crashes/most_crashes", to.crashes.most_crashes, 1, 100);
+  reader.read_duration("/crashes/lifetime", to.crashes.lifetime, seconds(1), hours(24));
+  reader.read_duration("/gossip/interval", to.gossip.interval, milliseconds(10), minutes(1));
+  reader.read_integer("/gossip/fan_out", to.gossip.fan_out, 1, 100);
+  reader.read_duration("/gossip/silence", to.gossip.silence, seconds(1), hours(1));
+  reader.read_duration("/peers/connect_timeout", to.peers.connect_timeout, milliseconds(1), minutes(1));
+  reader.read_duration("/peers/ping_after", to.peers.ping_after, milliseconds(10), minutes(1));
+  reader.read_duration("/peers/ping_timeout", to.peers.ping_timeout, milliseconds(10), minutes(1));
+  reader.read_duration("/peers/idle_timeout", to.peers.idle_timeout, seconds(1), hours(1));
+  reader.read_duration("/lifecycle/leave_grace", to.lifecycle.leave_grace, milliseconds(0), minutes(10));
+  reader.read_duration("/lifecycle/longest_leave", to.lifecycle.longest_leave, milliseconds(0), hours(1));
+  reader.read_duration("/lifecycle/pause_bound", to.lifecycle.pause_bound, milliseconds(100), minutes(1));
+  reader.read_duration("/lifecycle/revalidation", to.lifecycle.revalidation, milliseconds(10), minutes(1));
+  reader.read_integer("/lifecycle/timeline_events", to.lifecycle.timeline_events, 16, 1'000'000);
+  reader.read_choice<observe::log_level>("/log/level", to.log.level,
+                                         {{"debug", observe::log_level::debug},
+                                          {"info", observe::log_level::info},
+                                          {"warning", observe::log_level::warning},
+                                          {"error", observe::log_level::error}});
+  reader.read_flag("/log/json", to.log.json);
+}
+
+}  // namespace
+
+std::variant<node_settings, std::vector<settings::settings_error>> read_node_settings(
+    const std::string& text) {
+  node_settings read;
+  settings::json_reader reader(text);
+  read_identity(reader, read);
+  read_edges(reader, read);
+  read_admission(reader, read.admission);
+  read_routing(reader, read.routing);
+  read_fleet(reader, read);
+  std::vector<settings::settings_error> errors = reader.finish();
+  if (!errors.empty()) {
+    return errors;
+  }
+  read.admission.pass_through = read.pass_through;
+  read.routing.pass_through = read.pass_through;
+  return read;
+}
+
+}  // namespace nutmegarch::node
--- /dev/null
+++ b/nutmegarch/node/node_settings.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "nutmegarch/http/client_pool.h"
+#include "nutmegarch/http/server.h"
+#include "nutmegarch/membership/gossip_schedule.h"
+#include "nutmegarch/observe/log.h"
+#include "nutmegarch/policy/crash_registry.h"
+#include "nutmegarch/policy/order_registry.h"
+#include "nutmegarch/policy/receiver.h"
+#include "nutmegarch/policy/sender.h"
+#include "nutmegarch/protocol/peer_network.h"
+#include "nutmegarch/settings/json_reader.h"
+
+namespace nutmegarch::node {
+
+/// Who a node is and where it stands.
+struct identity_settings {
+  std::string service;
+  std::string host;
+  std::string domain;
+  std::string region;
+  /// Services that the target beside this node calls.
+  std::vector<std::string> calls;
+  /// Threads that serve connections and run decisions.
+  int workers = 2;
+};
+
+/// Addresses that a node listens on, as IP:PORT.
+struct listen_settings {
+  std::string callers;
+  std::string peers;
+  std::string admin;
+};
+
+/// The target beside the node.
+struct target_settings {
+  std::string address;
+  http::client_settings connections;
+};
+
+/// The platform's configuration service.
+struct platform_settings {
+  std::string address;
+  /// Nodes of one service that watch the configuration service for all of them.
+  int readers_per_service = 3;
+  /// How long a watch waits for news.
+  duration watch = std::chrono::seconds(30);
+};
+
+/// What a node applies to calls that do not say more.
+struct call_settings {
+  /// Time for a call whose caller names none.
+  duration timeout = std::chrono::seconds(2);
+  /// Longest time that a caller may name.
+  duration longest_timeout = std::chrono::seconds(60);
+};
+
+/// Leaving, pauses and the time line.
+struct lifecycle_settings {
+  /// From the signal to the end, at the least: senders have learned of it by then.
+  duration leave_grace = std::chrono::milliseconds(2500);
+  /// At the most; calls that still run are cut off then.
+  duration longest_leave = std::chrono::seconds(60);
+  /// A timer that fires this much late means that the process was paused.
+  duration pause_bound = std::chrono::seconds(1);
+  /// After a pause, calls are refused until a peer or the configuration service answered, at most this long.
+  duration revalidation = std::chrono::seconds(2);
+  /// Events that the time line keeps.
+  std::size_t timeline_events = 8192;
+};
+
+/// All settings of a node, with their defaults. docs/SETTINGS.md lists them.
+struct node_settings {
+  identity_settings identity;
+  listen_settings listen;
+  target_settings target;
+  platform_settings platform;
+  call_settings calls;
+  lifecycle_settings lifecycle;
+  http::server_settings callers;
+  policy::receiver_settings admission;
+  policy::sender_settings routing;
+  policy::order_settings orders;
+  policy::crash_settings crashes;
+  membership::gossip_settings gossip;
+  protocol::peer_network_settings peers;
+  observe::log_settings log;
+  /// Baseline: round robin, no shedding, no retries of the node's own.
+  bool pass_through = false;
+};
+
+/// Reads settings from their JSON text: either all of them, or all mistakes.
+std::variant<node_settings, std::vector<settings::settings_error>> read_node_settings(
+    const std::string& text);
+
+}  // namespace nutmegarch::node
--- /dev/null
+++ b/nutmegarch/node/node_state.cpp
@@ -0,0 +1,17 @@
+#include "nutmegarch/node/node_state.h"
+
+namespace nutmegarch::node {
+
+node_state::node_state(const node_settings& all, std::uint64_t own_incarnation, std::uint64_t seed)
+    : settings(all),
+      incarnation(own_incarnation),
+      events(all.lifecycle.timeline_events, stamps),
+      random(seed),
+      receiver(all.admission),
+      sender(all.routing, random),
+      orders(own_incarnation, all.orders),
+      crashes(all.crashes),
+      endpoints({all.identity.host, all.identity.domain, all.identity.region}),
+      gossip(all.gossip, random) {}
+
+}  // namespace nutmegarch::node
--- /dev/null
+++ b/nutmegarch/node/node_state.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <mutex>
+
+#include "nutmegarch/membership/document_table.h"
+#include "nutmegarch/membership/endpoint_table.h"
+#include "nutmegarch/membership/gossip_schedule.h"
+#include "nutmegarch/node/node_settings.h"
+#include "nutmegarch/observe/metrics.h"
+#include "nutmegarch/observe/timeline.h"
+#include "nutmegarch/policy/downstream_levels.h"
+#include "nutmegarch/policy/rule_gate.h"
+#include "nutmegarch/rules/rules_in_force.h"
+
+namespace nutmegarch::node {
+
+/// The tables that all parts of a node share.
+///
+/// Lock order: `mutex` first; then the locks inside metrics, timeline, peer_network and client_pool, which
+/// are never held together. No callback and no I/O runs while `mutex` is held.
+struct node_state {
+  node_state(const node_settings& all, std::uint64_t own_incarnation, std::uint64_t seed);
+  node_state(const node_state&) = delete;
+  node_state& operator=(const node_state&) = delete;
+
+  const node_settings settings;
+  const std::uint64_t incarnation;
+  system_time_source clock;
+  observe::hybrid_clock stamps;
+  observe::timeline events;
+  observe::metrics counts;
+
+  /// Guards all that follows.
+  std::mutex mutex;
+  random_source random;
+  policy::receiver receiver;
+  policy::sender sender;
+  policy::order_registry orders;
+  policy::crash_registry crashes;
+  policy::downstream_levels downstream;
+  policy::rule_gate gate;
+  rules::rules_in_force rules;
+  membership::document_table documents;
+  membership::endpoint_table endpoints;
+  membership::gossip_schedule gossip;
+  /// Calls that each rule touched since it is in force, by line.
+  std::map<int, std::uint64_t> touched;
+  /// Until this moment the view may be old, and calls are refused.
+  time_point revalidating_until{};
+  /// When the rules in force were accepted, for people.
+  std::chrono::system_clock::time_point rules_since;
+  bool leaving = false;
+
+  /// Refuse calls while the view may be old. Holds the lock.
+  bool is_revalidating(time_point now) const { return now < revalidating_until; }
+};
+
+}  // namespace nutmegarch::node
--- /dev/null
+++ b/nutmegarch/node/outbound_path.cpp
@@ -0,0 +1,334 @@
+#include "nutmegarch/node/outbound_path.h"
+
+#include <utility>
+
+#include "nutmegarch/core/hash.h"
+#include "nutmegarch/http/problem.h"
+#include "nutmegarch/node/header_names.h"
+
+namespace nutmegarch::node {
+
+namespace {
+
+/// Bytes of a message for the budget of the link; heads and framing are about this large.
+constexpr std::size_t head_bytes = 400;
+
+policy::attempt_answer lost_answer(protocol::peer_error error) {
+  policy::attempt_answer answer;
+  const bool is_unwritten = error == protocol::peer_error::unreachable;
+  answer.outcome = is_unwritten ? call_outcome::not_run : call_outcome::unknown;
+  answer.reason = is_unwritten ? call_reason::no_target : call_reason::connection_lost;
+  return answer;
+}
+
+policy::attempt_answer to_attempt_answer(const protocol::peer_answer& from) {
+  policy::attempt_answer answer;
+  answer.outcome = from.outcome;
+  answer.reason = from.reason;
+  answer.tokens_back = from.tokens_back;
+  answer.report = from.report;
+  answer.route_level = from.route_level;
+  answer.calls_on = from.calls_on;
+  return answer;
+}
+
+}  // namespace
+
+outbound_path::outbound_path(node_state& state, std::shared_ptr<inbound_path> local,
+                             protocol::peer_network& peers)
+    : state_(state), local_(std::move(local)), peers_(peers) {}
+
+void outbound_path::on_request(std::uint64_t exchange, request_message request, reply answer) {
+  const std::shared_ptr<const request_message> shared =
+      std::make_shared<const request_message>(std::move(request));
+  built_call built;
+  bool needs_ticket = false;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    const time_point now = state_.clock.now();
+    const std::optional<request_id> named = request_id_of(shared->fields);
+    const std::optional<parent_call> parent = named ? local_->find_parent(*named) : std::nullopt;
+    built = build_call(state_, *shared, parent, now);
+    if (parent) {
+      local_->note_child(*named, built.context.service, built.context.route);
+    }
+
+    // An order of the target gets the ticket that belongs to the order that it runs.
+    needs_ticket = built.is_order && !built.context.ticket && !state_.settings.pass_through;
+    if (needs_ticket && parent && parent->context.ticket) {
+      built.context.ticket =
+          state_.orders.child_ticket(*parent->context.ticket, child_key(built, *shared), std::nullopt, now);
+      needs_ticket = !built.context.ticket;
+    }
+  }
+  if (needs_ticket) {
+    fetch_ticket(exchange, std::move(built), shared, std::move(answer));
+  } else {
+    start_call(exchange, std::move(built), shared, std::move(answer));
+  }
+}
+
+void outbound_path::on_disconnect(std::uint64_t exchange) {
+  policy::sender_actions actions;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    auto found = calls_.find(exchange);
+    if (found == calls_.end()) {
+      return;
+    }
+    state_.sender.cancel(found->second.call, state_.clock.now(), actions);
+  }
+  run(actions);
+}
+
+void outbound_path::on_bad_request(int status, const std::string& error) {
+  state_.counts.add("bad_requests");
+  state_.events.add(observe::event_kind::bad_request, {}, std::to_string(status), error);
+}
+
+void outbound_path::on_time() {
+  policy::sender_actions actions;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    state_.sender.on_time(state_.clock.now(), actions);
+  }
+  run(actions);
+}
+
+bool outbound_path::is_idle() const {
+  const std::lock_guard<std::mutex> lock(state_.mutex);
+  return calls_.empty();
+}
+
+void outbound_path::start_call(std::uint64_t key, built_call built,
+                               std::shared_ptr<const request_message> request, reply answer) {
+  policy::sender_actions actions;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    const policy::outbound_call_ptr call(new policy::outbound_call());
+    call->key = key;
+    call->deadline = built.deadline;
+    call->size = request->body.size() + head_bytes;
+    call->may_hedge = built.may_hedge;
+    if (built.parent) {
+      call->ledger = built.parent->ledger;
+    } else if (built.retry_budget) {
+      call->ledger = policy::retry_ledger_ptr(new policy::retry_ledger(*built.retry_budget));
+    }
+    call->context = std::move(built.context);
+    entry made;
+    made.call = call;
+    made.request = std::move(request);
+    made.answer = std::move(answer);
+    calls_.emplace(key, std::move(made));
+    state_.sender.start(call, state_.clock.now(), actions);
+  }
+  run(actions);
+}
+
+void outbound_path::fetch_ticket(std::uint64_t key, built_call built,
+                                 std::shared_ptr<const request_message> request, reply answer) {
+  policy::endpoint_ptr home;
+  duration patience{};
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    const time_point now = state_.clock.now();
+    home = state_.sender.choose_ticket_home(built.context, now);
+    patience = built.deadline - now;
+  }
+  if (!home) {
+    answer(http::make_problem(call_outcome::not_run, call_reason::no_target, ""));
+    return;
+  }
+  protocol::peer_call question;
+  question.context = built.context;
+  question.context.remaining = patience;
+  question.stamp = state_.stamps.next();
+  if (home->distance == policy::proximity::same_host) {
+    on_ticket(key, std::move(built), std::move(request), std::move(answer), local_->issue_ticket(question));
+    return;
+  }
+  peers_.request_ticket(
+      home->address, std::move(question),
+      [self = shared_from_this(), key, built = std::move(built), request = std::move(request),
+       answer = std::move(answer)](const result<protocol::peer_answer, protocol::peer_error>& outcome) {
+        protocol::peer_answer content;
+        if (succeeded(outcome)) {
+          content = std::get<protocol::peer_answer>(outcome);
+        }
+        self->on_ticket(key, built, request, answer, content);
+      });
+}
+
+void outbound_path::on_ticket(std::uint64_t key, built_call built,
+                              std::shared_ptr<const request_message> request, reply answer,
+                              const protocol::peer_answer& content) {
+  if (!content.ticket) {
+    // Nothing has run: the order itself has not left this node.
+    const call_reason reason = content.reason == call_reason::none ? call_reason::no_target : content.reason;
+    answer(http::make_problem(call_outcome::not_run, reason, ""));
+    return;
+  }
+
+  // The order of a target goes on by itself; an outside caller keeps its ticket and asks again.
+  if (built.parent && built.parent->context.ticket) {
+    {
+      const std::lock_guard<std::mutex> lock(state_.mutex);
+      built.context.ticket = state_.orders.child_ticket(
+          *built.parent->context.ticket, child_key(built, *request), content.ticket, state_.clock.now());
+    }
+    if (built.context.ticket) {
+      start_call(key, std::move(built), std::move(request), std::move(answer));
+      return;
+    }
+  }
+  answer_message problem = http::make_problem(call_outcome::not_run, call_reason::ticket_required, "");
+  set_header(problem.fields, header_names::ticket, policy::to_text(*content.ticket));
+  set_header(problem.fields, header_names::outcome, name_of(call_outcome::not_run));
+  answer(std::move(problem));
+}
+
+void outbound_path::run(const policy::sender_actions& actions) {
+  for (const policy::sender_action& action : actions) {
+    switch (action.what) {
+      case policy::sender_action::kind::send:
+        send(action);
+        break;
+      case policy::sender_action::kind::abandon:
+        abandon(action);
+        break;
+      case policy::sender_action::kind::complete:
+        complete(action);
+        break;
+    }
+  }
+}
+
+void outbound_path::send(const policy::sender_action& action) {
+  policy::attempt made;
+  protocol::peer_call call;
+  call.context = action.context;
+  call.stamp = state_.stamps.next();
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    auto found = calls_.find(action.call->key);
+    if (found == calls_.end()) {
+      return;
+    }
+    call.request = found->second.request;
+    made = action.call->attempts.at(action.attempt);
+    if (action.attempt > 0) {
+      state_.events.add(made.is_hedge ? observe::event_kind::call_hedged : observe::event_kind::call_retried,
+                        action.context.id, made.to->host, name_of(action.call->last_refusal));
+    }
+  }
+
+  const std::uint64_t key = action.call->key;
+  const std::size_t attempt = action.attempt;
+  attempt_handle handle;
+  handle.is_local = made.to->distance == policy::proximity::same_host;
+  if (handle.is_local) {
+    handle.number = local_->offer(
+        std::move(call), [self = shared_from_this(), key, attempt](const protocol::peer_answer& content) {
+          self->on_attempt(key, attempt, content);
+        });
+  } else {
+    handle.number = peers_.call(made.to->address, std::move(call),
+                                [self = shared_from_this(), key, attempt](
+                                    const result<protocol::peer_answer, protocol::peer_error>& outcome) {
+                                  self->on_attempt(key, attempt, outcome);
+                                });
+  }
+  const std::lock_guard<std::mutex> lock(state_.mutex);
+  auto found = calls_.find(key);
+  if (found != calls_.end()) {
+    found->second.handles[attempt] = handle;
+  }
+}
+
+void outbound_path::abandon(const policy::sender_action& action) {
+  attempt_handle handle;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    auto found = calls_.find(action.call->key);
+    if (found == calls_.end() || found->second.handles.count(action.attempt) == 0) {
+      return;
+    }
+    handle = found->second.handles.at(action.attempt);
+  }
+  if (handle.is_local) {
+    local_->cancel(handle.number);
+  } else {
+    peers_.cancel(handle.number);
+  }
+}
+
+void outbound_path::complete(const policy::sender_action& action) {
+  entry ended;
+  answer_message message;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    auto found = calls_.find(action.call->key);
+    if (found == calls_.end()) {
+      return;
+    }
+    ended = std::move(found->second);
+    calls_.erase(found);
+  }
+  const call_context& context = action.call->context;
+  const bool is_from_target = action.outcome == call_outcome::ok || action.outcome == call_outcome::failed;
+  auto content = ended.answers.find(action.attempt);
+  if (is_from_target && content != ended.answers.end()) {
+    message = std::move(content->second.message);
+  } else {
+    message = http::make_problem(action.outcome, action.reason, ended.last_rule);
+    if (action.attempt == 0 && action.call->attempts.empty()) {
+      state_.events.add(observe::event_kind::call_shed, context.id, context.service, name_of(action.reason));
+    }
+  }
+  set_header(message.fields, header_names::outcome, name_of(action.outcome));
+  state_.counts.on_outbound(context.cls, action.outcome, action.reason,
+                            state_.clock.now() - action.call->started);
+  ended.answer(std::move(message));
+}
+
+void outbound_path::on_attempt(std::uint64_t key, std::size_t attempt,
+                               const result<protocol::peer_answer, protocol::peer_error>& outcome) {
+  policy::sender_actions actions;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    auto found = calls_.find(key);
+    if (found == calls_.end()) {
+      return;
+    }
+    policy::attempt_answer answer;
+    if (succeeded(outcome)) {
+      const protocol::peer_answer& content = std::get<protocol::peer_answer>(outcome);
+      state_.stamps.merge(content.stamp);
+      answer = to_attempt_answer(content);
+      found->second.last_rule = content.rule;
+      found->second.answers[attempt] = content;
+    } else {
+      answer = lost_answer(std::get<protocol::peer_error>(outcome));
+    }
+    const policy::endpoint_ptr to = found->second.call->attempts.at(attempt).to;
+    const bool was_ejected = state_.clock.now() < to->ejected_until;
+    const policy::outbound_call_ptr call = found->second.call;
+    state_.sender.on_answer(call, attempt, answer, state_.clock.now(), actions);
+    const bool is_ejected = state_.clock.now() < to->ejected_until;
+    if (is_ejected != was_ejected) {
+      state_.events.add(is_ejected ? observe::event_kind::target_ejected : observe::event_kind::target_back,
+                        call->context.id, to->host, name_of(answer.reason));
+    }
+  }
+  run(actions);
+}
+
+std::uint64_t outbound_path::child_key(const built_call& built, const request_message& request) const {
+  // The target's own key names the child order; without one, its content does.
+  const std::string named = find_header(request.fields, header_names::idempotency_key);
+  const std::string content = named.empty() ? request.body : named;
+  return hash_text(built.context.service + ' ' + request.method + ' ' + request.target + ' ' + content);
+}
+
+}  // namespace nutmegarch::node
--- /dev/null
+++ b/nutmegarch/node/outbound_path.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "nutmegarch/http/server.h"
+#include "nutmegarch/node/call_builder.h"
+#include "nutmegarch/node/inbound_path.h"
+#include "nutmegarch/protocol/peer_network.h"
+
+namespace nutmegarch::node {
+
+/// Calls that come in at the callers' edge, from outside or from the local target, over all their attempts.
+class outbound_path final : public http::request_handler, public std::enable_shared_from_this<outbound_path> {
+ public:
+  outbound_path(node_state& state, std::shared_ptr<inbound_path> local, protocol::peer_network& peers);
+
+  void on_request(std::uint64_t exchange, request_message request, reply answer) override;
+  void on_disconnect(std::uint64_t exchange) override;
+  void on_bad_request(int status, const std::string& error) override;
+
+  /// Lets time pass for open calls.
+  void on_time();
+  /// The moment at which on_time() has something to do. Holds the state's lock.
+  time_point next_timer() const { return state_.sender.next_timer(); }
+  /// True when no call is open. Takes the state's lock.
+  bool is_idle() const;
+  /// Calls that are open now. Holds the state's lock.
+  std::size_t size() const { return calls_.size(); }
+
+ private:
+  /// One attempt under way: a call to a peer, or to the local target.
+  struct attempt_handle {
+    std::uint64_t number = 0;
+    bool is_local = false;
+  };
+
+  struct entry {
+    policy::outbound_call_ptr call;
+    std::shared_ptr<const request_message> request;
+    reply answer;
+    std::unordered_map<std::size_t, attempt_handle> handles;
+    /// Answers of the target by attempt, until the call is complete.
+    std::unordered_map<std::size_t, protocol::peer_answer> answers;
+    std::string last_rule;
+  };
+
+  void start_call(std::uint64_t key, built_call built, std::shared_ptr<const request_message> request,
+                  reply answer);
+  void fetch_ticket(std::uint64_t key, built_call built, std::shared_ptr<const request_message> request,
+                    reply answer);
+  void on_ticket(std::uint64_t key, built_call built, std::shared_ptr<const request_message> request,
+                 reply answer, const protocol::peer_answer& content);
+  void run(const policy::sender_actions& actions);
+  void send(const policy::sender_action& action);
+  void abandon(const policy::sender_action& action);
+  void complete(const policy::sender_action& action);
+  void on_attempt(std::uint64_t key, std::size_t attempt,
+                  const result<protocol::peer_answer, protocol::peer_error>& outcome);
+  std::uint64_t child_key(const built_call& built, const request_message& request) const;
+
+  node_state& state_;
+  std::shared_ptr<inbound_path> local_;
+  protocol::peer_network& peers_;
+
+  /// Guarded by the state's lock.
+  std::unordered_map<std::uint64_t, entry> calls_;
+};
+
+}  // namespace nutmegarch::node
--- /dev/null
+++ b/nutmegarch/observe/log.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace nutmegarch::observe {
+
+/// Weight of a log line.
+enum class log_level : std::uint8_t { debug, info, warning, error };
+
+/// Settings of the log.
+struct log_settings {
+  log_level level = log_level::info;
+  /// One JSON object a line instead of key=value pairs.
+  bool json = false;
+};
+
+/// Fields of a log line.
+using log_fields = std::vector<std::pair<std::string, std::string>>;
+
+/// Sets the log up: lines go to the standard error stream, never to a file. Call it once, before the first
+/// line.
+void configure_log(const log_settings& settings);
+
+/// Writes one line for one event. Any thread may call it.
+void log_event(log_level level, const std::string& event, const log_fields& fields);
+
+}  // namespace nutmegarch::observe
--- a/nutmegarch/policy/crash_registry.cpp
+++ b/nutmegarch/policy/crash_registry.cpp
@@ -3,19 +3,26 @@
 namespace nutmegarch::policy {
 
 void crash_registry::on_crash(std::uint64_t fingerprint, time_point now) {
+  auto success = succeeded_.find(fingerprint);
+  if (success != succeeded_.end() && now - success->second < settings_.success_lifetime) {
+    return;
+  }
   set(fingerprint, crashes(fingerprint, now) + 1, now);
 }
 
-void crash_registry::on_success(std::uint64_t fingerprint) {
-  auto found = entries_.find(fingerprint);
-  if (found != entries_.end()) {
-    order_.erase(found->second.place);
-    entries_.erase(found);
+void crash_registry::on_success(std::uint64_t fingerprint, time_point now) {
+  // A full table is emptied; the requests that matter come back soon.
+  if (succeeded_.size() >= settings_.success_capacity) {
+    succeeded_.clear();
   }
+  succeeded_[fingerprint] = now;
+  erase(fingerprint);
 }
 
 bool crash_registry::merge(const crash_mark& mark, time_point now) {
-  if (mark.crashes <= crashes(mark.fingerprint, now)) {
+  auto success = succeeded_.find(mark.fingerprint);
+  const bool is_harmless = success != succeeded_.end() && now - success->second < settings_.success_lifetime;
+  if (is_harmless || mark.crashes <= crashes(mark.fingerprint, now)) {
     return false;
   }
   set(mark.fingerprint, mark.crashes, now);
@@ -37,6 +44,14 @@
   return all;
 }
 
+void crash_registry::erase(std::uint64_t fingerprint) {
+  auto found = entries_.find(fingerprint);
+  if (found != entries_.end()) {
+    order_.erase(found->second.place);
+    entries_.erase(found);
+  }
+}
+
 void crash_registry::set(std::uint64_t fingerprint, int crashes, time_point now) {
   auto found = entries_.find(fingerprint);
   if (found == entries_.end()) {
--- a/nutmegarch/policy/crash_registry.h
+++ b/nutmegarch/policy/crash_registry.h
@@ -17,6 +17,11 @@
   duration lifetime = std::chrono::minutes(10);
   /// Most fingerprints that are remembered; the oldest goes first.
   std::size_t capacity = 1024;
+  /// A request that ran to its end this recently did not crash the target, though it ran when the target
+  /// crashed.
+  duration success_lifetime = std::chrono::seconds(30);
+  /// Most fingerprints whose success is remembered.
+  std::size_t success_capacity = 4096;
 };
 
 /// One fingerprint with its crashes, as peers tell each other.
@@ -34,7 +39,7 @@
   void on_crash(std::uint64_t fingerprint, time_point now);
 
   /// A target ran the request to its end: it is not what crashes targets.
-  void on_success(std::uint64_t fingerprint);
+  void on_success(std::uint64_t fingerprint, time_point now);
 
   /// Takes over what a peer or a call's context tells; the larger count stands. True when that was news.
   bool merge(const crash_mark& mark, time_point now);
@@ -58,11 +63,13 @@
   };
 
   void set(std::uint64_t fingerprint, int crashes, time_point now);
+  void erase(std::uint64_t fingerprint);
 
   crash_settings settings_;
   std::unordered_map<std::uint64_t, entry> entries_;
   /// Fingerprints, the one with the oldest crash first.
   std::list<std::uint64_t> order_;
+  std::unordered_map<std::uint64_t, time_point> succeeded_;
 };
 
 }  // namespace nutmegarch::policy
--- /dev/null
+++ b/nutmegarch/protocol/codec.cpp
@@ -0,0 +1,197 @@
+#include "nutmegarch/protocol/codec.h"
+
+#include <algorithm>
+
+namespace nutmegarch::protocol {
+
+namespace {
+
+std::string text_of(capnp::Text::Reader from) { return {from.cStr(), from.size()}; }
+
+std::string bytes_of(capnp::Data::Reader from) {
+  return {reinterpret_cast<const char*>(from.begin()), from.size()};
+}
+
+capnp::Data::Reader as_data(const std::string& from) {
+  return {reinterpret_cast<const kj::byte*>(from.data()), from.size()};
+}
+
+void write_headers(const headers& from, capnp::List<wire::Header>::Builder to) {
+  for (std::size_t i = 0; i < from.size(); ++i) {
+    wire::Header::Builder field = to[static_cast<unsigned>(i)];
+    field.setName(from.at(i).name);
+    field.setValue(from.at(i).value);
+  }
+}
+
+headers read_headers(capnp::List<wire::Header>::Reader from) {
+  headers fields;
+  fields.reserve(from.size());
+  for (const wire::Header::Reader field : from) {
+    fields.push_back({text_of(field.getName()), text_of(field.getValue())});
+  }
+  return fields;
+}
+
+template <typename Enum>
+Enum enum_of(unsigned value, Enum largest) {
+  return static_cast<Enum>(std::min(value, static_cast<unsigned>(largest)));
+}
+
+void write_stamp(const membership::document_stamp& from, wire::DocumentStamp::Builder to) {
+  to.setKey(from.key);
+  to.setVersion(from.version);
+  to.setRevision(from.revision);
+  to.setHash(from.hash);
+}
+
+membership::document_stamp read_stamp(wire::DocumentStamp::Reader from) {
+  return {text_of(from.getKey()), from.getVersion(), from.getRevision(), from.getHash()};
+}
+
+}  // namespace
+
+void write_context(const call_context& from, std::uint64_t stamp, wire::CallContext::Builder to) {
+  to.setIdHigh(from.id.high);
+  to.setIdLow(from.id.low);
+  to.setService(from.service);
+  to.setRoute(from.route);
+  to.setCaller(from.caller);
+  to.setCallClass(static_cast<std::uint8_t>(from.cls));
+  to.setShedRank(from.shed_rank);
+  to.setDepth(from.depth);
+  to.setCrashCount(from.crash_count);
+  to.setRepeated(from.repeated);
+  to.setIdempotent(from.idempotent);
+  to.setRetryTokens(from.retry_tokens);
+  to.setRemaining(from.remaining.count());
+  to.setFingerprint(from.fingerprint);
+  to.setStamp(stamp);
+  if (from.ticket) {
+    to.setTicketIncarnation(from.ticket->incarnation);
+    to.setTicketSequence(from.ticket->sequence);
+  }
+}
+
+void write(const peer_call& from, wire::CallContext::Builder context, wire::Request::Builder request) {
+  write_context(from.context, from.stamp, context);
+  request.setMethod(from.request->method);
+  request.setTarget(from.request->target);
+  write_headers(from.request->fields,
+                request.initHeaders(static_cast<unsigned>(from.request->fields.size())));
+  request.setBody(as_data(from.request->body));
+}
+
+peer_call read_context(wire::CallContext::Reader from) {
+  peer_call call;
+  call_context& to = call.context;
+  to.id = {from.getIdHigh(), from.getIdLow()};
+  to.service = text_of(from.getService());
+  to.route = text_of(from.getRoute());
+  to.caller = text_of(from.getCaller());
+  to.cls = enum_of(from.getCallClass(), call_class::browse);
+  to.shed_rank = static_cast<std::uint8_t>(std::min<int>(from.getShedRank(), shed_rank_count - 1));
+  to.depth = from.getDepth();
+  to.crash_count = from.getCrashCount();
+  to.repeated = from.getRepeated();
+  to.idempotent = from.getIdempotent();
+  to.retry_tokens = from.getRetryTokens();
+  to.remaining = duration(from.getRemaining());
+  to.fingerprint = from.getFingerprint();
+  if (from.getTicketSequence() != 0) {
+    to.ticket = order_ticket{from.getTicketIncarnation(), from.getTicketSequence()};
+  }
+  call.stamp = from.getStamp();
+  return call;
+}
+
+peer_call read(wire::CallContext::Reader context, wire::Request::Reader request) {
+  peer_call call = read_context(context);
+  const std::shared_ptr<request_message> message = std::make_shared<request_message>();
+  message->method = text_of(request.getMethod());
+  message->target = text_of(request.getTarget());
+  message->fields = read_headers(request.getHeaders());
+  message->body = bytes_of(request.getBody());
+  call.request = message;
+  return call;
+}
+
+void write(const peer_answer& from, wire::Answer::Builder to) {
+  to.setOutcome(static_cast<std::uint8_t>(from.outcome));
+  to.setReason(static_cast<std::uint8_t>(from.reason));
+  to.setStatus(static_cast<std::uint16_t>(from.message.status));
+  write_headers(from.message.fields, to.initHeaders(static_cast<unsigned>(from.message.fields.size())));
+  to.setBody(as_data(from.message.body));
+  to.setTokensBack(from.tokens_back);
+  to.setLoad(from.report.load);
+  to.setLevel(from.report.level.cutoff);
+  to.setLeaving(from.report.leaving);
+  to.setIncarnation(from.report.incarnation);
+  to.setRouteLevel(from.route_level.cutoff);
+  to.setCallsOn(from.calls_on);
+  to.setTicketSequence(from.ticket ? from.ticket->sequence : 0);
+  to.setRule(from.rule);
+  to.setStamp(from.stamp);
+}
+
+peer_answer read(wire::Answer::Reader from) {
+  peer_answer answer;
+  answer.outcome = enum_of(from.getOutcome(), call_outcome::failed);
+  answer.reason = enum_of(from.getReason(), call_reason::too_large);
+  answer.message.status = from.getStatus();
+  answer.message.fields = read_headers(from.getHeaders());
+  answer.message.body = bytes_of(from.getBody());
+  answer.tokens_back = from.getTokensBack();
+  answer.report = {from.getLoad(), admission_level{from.getLevel()}, from.getLeaving(),
+                   from.getIncarnation()};
+  answer.route_level.cutoff = from.getRouteLevel();
+  answer.calls_on = from.getCallsOn();
+  if (from.getTicketSequence() != 0) {
+    answer.ticket = order_ticket{from.getIncarnation(), from.getTicketSequence()};
+  }
+  answer.rule = text_of(from.getRule());
+  answer.stamp = from.getStamp();
+  return answer;
+}
+
+void write(const peer_exchange& from, wire::Exchange::Builder to) {
+  to.setHost(from.self.host);
+  to.setIncarnation(from.self.incarnation);
+  to.setLeaving(from.self.leaving);
+  to.setStamp(from.stamp);
+  capnp::List<wire::DocumentStamp>::Builder digest = to.initDigest(static_cast<unsigned>(from.digest.size()));
+  for (std::size_t i = 0; i < from.digest.size(); ++i) {
+    write_stamp(from.digest.at(i), digest[static_cast<unsigned>(i)]);
+  }
+  capnp::List<wire::Document>::Builder documents =
+      to.initDocuments(static_cast<unsigned>(from.documents.size()));
+  for (std::size_t i = 0; i < from.documents.size(); ++i) {
+    wire::Document::Builder document = documents[static_cast<unsigned>(i)];
+    write_stamp(from.documents.at(i).stamp, document.initStamp());
+    document.setBody(as_data(from.documents.at(i).body));
+  }
+  capnp::List<wire::CrashMark>::Builder marks = to.initMarks(static_cast<unsigned>(from.marks.size()));
+  for (std::size_t i = 0; i < from.marks.size(); ++i) {
+    wire::CrashMark::Builder mark = marks[static_cast<unsigned>(i)];
+    mark.setFingerprint(from.marks.at(i).fingerprint);
+    mark.setCrashes(static_cast<std::uint16_t>(from.marks.at(i).crashes));
+  }
+}
+
+peer_exchange read(wire::Exchange::Reader from) {
+  peer_exchange exchange;
+  exchange.self = {text_of(from.getHost()), from.getIncarnation(), from.getLeaving()};
+  exchange.stamp = from.getStamp();
+  for (const wire::DocumentStamp::Reader stamp : from.getDigest()) {
+    exchange.digest.push_back(read_stamp(stamp));
+  }
+  for (const wire::Document::Reader document : from.getDocuments()) {
+    exchange.documents.push_back({read_stamp(document.getStamp()), bytes_of(document.getBody())});
+  }
+  for (const wire::CrashMark::Reader mark : from.getMarks()) {
+    exchange.marks.push_back({mark.getFingerprint(), mark.getCrashes()});
+  }
+  return exchange;
+}
+
+}  // namespace nutmegarch::protocol
--- /dev/null
+++ b/nutmegarch/protocol/codec.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "nutmegarch/protocol/peer.capnp.h"
+#include "nutmegarch/protocol/peer_messages.h"
+
+namespace nutmegarch::protocol {
+
+/// Write messages into their wire form, and read them back. Values out of range are brought into it.
+void write(const peer_call& from, wire::CallContext::Builder context, wire::Request::Builder request);
+void write_context(const call_context& from, std::uint64_t stamp, wire::CallContext::Builder to);
+peer_call read(wire::CallContext::Reader context, wire::Request::Reader request);
+peer_call read_context(wire::CallContext::Reader context);
+void write(const peer_answer& from, wire::Answer::Builder to);
+peer_answer read(wire::Answer::Reader from);
+void write(const peer_exchange& from, wire::Exchange::Builder to);
+peer_exchange read(wire::Exchange::Reader from);
+
+}  // namespace nutmegarch::protocol
--- /dev/null
+++ b/nutmegarch/protocol/peer.capnp
@@ -0,0 +1,95 @@
+@0xb1c6a5d0e9f34721;
+
+# The protocol between two nodes. Times are durations in nanoseconds; a moment of one host means nothing to another.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("nutmegarch::protocol::wire");
+
+struct CallContext {
+  idHigh @0 :UInt64;
+  idLow @1 :UInt64;
+  service @2 :Text;
+  route @3 :Text;
+  caller @4 :Text;
+  callClass @5 :UInt8;
+  shedRank @6 :UInt8;
+  depth @7 :UInt8;
+  crashCount @8 :UInt8;
+  repeated @9 :Bool;
+  idempotent @10 :Bool;
+  retryTokens @11 :UInt16;
+  remaining @12 :Int64;
+  fingerprint @13 :UInt64;
+  ticketIncarnation @14 :UInt64;
+  ticketSequence @15 :UInt64;
+  # Hybrid logical clock of the sender.
+  stamp @16 :UInt64;
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct Request {
+  method @0 :Text;
+  target @1 :Text;
+  headers @2 :List(Header);
+  body @3 :Data;
+}
+
+struct Answer {
+  outcome @0 :UInt8;
+  reason @1 :UInt8;
+  status @2 :UInt16;
+  headers @3 :List(Header);
+  body @4 :Data;
+  tokensBack @5 :UInt16;
+  load @6 :Float64;
+  level @7 :UInt16;
+  leaving @8 :Bool;
+  incarnation @9 :UInt64;
+  routeLevel @10 :UInt16;
+  callsOn @11 :Bool;
+  ticketSequence @12 :UInt64;
+  rule @13 :Text;
+  stamp @14 :UInt64;
+}
+
+struct DocumentStamp {
+  key @0 :Text;
+  version @1 :UInt64;
+  revision @2 :UInt64;
+  hash @3 :UInt64;
+}
+
+struct Document {
+  stamp @0 :DocumentStamp;
+  body @1 :Data;
+}
+
+struct CrashMark {
+  fingerprint @0 :UInt64;
+  crashes @1 :UInt16;
+}
+
+struct Exchange {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  leaving @2 :Bool;
+  digest @3 :List(DocumentStamp);
+  documents @4 :List(Document);
+  marks @5 :List(CrashMark);
+  stamp @6 :UInt64;
+}
+
+interface Peer {
+  # Runs a call at the target beside this node, or refuses it.
+  call @0 (context :CallContext, request :Request) -> (answer :Answer);
+  # Issues a ticket for an order; the answer's ticketSequence is 0 when there is none.
+  issueTicket @1 (context :CallContext) -> (answer :Answer);
+  # Compares what both know, and passes on what the other lacks.
+  exchange @2 (offer :Exchange) -> (reply :Exchange);
+  # Shows that the connection carries messages both ways.
+  ping @3 ();
+}
--- /dev/null
+++ b/stand_ins/main.cpp
@@ -0,0 +1,23 @@
+#include <csignal>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "stand_ins/platform_stand_in.h"
+#include "stand_ins/target_stand_in.h"
+
+/// Stand-ins for what surrounds the product: a target, and the platform. Not shipped.
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  const std::vector<std::string> words(argv + 1, argv + argc);
+  const std::string name = words.empty() ? "" : words.front();
+  const std::vector<std::string> rest(words.begin() + (words.empty() ? 0 : 1), words.end());
+  if (name == "target") {
+    return nutmegarch::stand_ins::run_target(rest);
+  }
+  if (name == "platform") {
+    return nutmegarch::stand_ins::run_platform(rest);
+  }
+  std::cerr << "usage: nutmegarch_stand_ins target|platform [OPTIONS]\n";
+  return 2;
+}
