--- a/nutmegarch/command/timeline_command.cpp
+++ b/nutmegarch/command/timeline_command.cpp
@@ -66,22 +66,21 @@
     query.after = stamp_before(*length);
   }
   const bool goes_on = follow.getValue() && format.getValue() == "text";
-  bool any_answered = false;
-  do {
+  while (true) {
     const merged_timeline merged = fetch_timeline(query);
     for (const std::string& silent : merged.silent) {
       std::cerr << silent << ": no answer\n";
     }
-    any_answered = merged.silent.size() < nodes.getValue().size();
+    const bool any_answered = merged.silent.size() < nodes.getValue().size();
     print(format.getValue(), merged.events);
     if (!merged.events.empty()) {
       query.after = merged.events.back().stamp;
     }
-    if (goes_on) {
-      std::this_thread::sleep_for(follow_interval);
+    if (!goes_on) {
+      return any_answered ? done : failed;
     }
-  } while (goes_on);
-  return any_answered ? done : failed;
+    std::this_thread::sleep_for(follow_interval);
+  }
 }
 
 }  // namespace nutmegarch::command
--- a/nutmegarch/protocol/peer_network.cpp
+++ b/nutmegarch/protocol/peer_network.cpp
@@ -193,10 +193,10 @@
       if (known.peer == nullptr) {
         continue;
       }
-      if (known.ping_open && known.heard < known.ping_sent &&
-          now - known.ping_sent > settings_.ping_timeout) {
-        to_drop.push_back(entry.first);
-      } else if (known.open_calls == 0 && now - known.heard > settings_.idle_timeout) {
+      const bool is_silent =
+          known.ping_open && known.heard < known.ping_sent && now - known.ping_sent > settings_.ping_timeout;
+      const bool is_idle = known.open_calls == 0 && now - known.heard > settings_.idle_timeout;
+      if (is_silent || is_idle) {
         to_drop.push_back(entry.first);
       } else if (known.open_calls > 0 && !known.ping_open && now - known.heard > settings_.ping_after) {
         ping(known, now);
@@ -303,7 +303,7 @@
             })
             .then([this, &known, callback](auto&& content) {
               known.heard = clock_.now();
-              (*callback)(std::move(content));
+              (*callback)(std::forward<decltype(content)>(content));
             })
             .exclusiveJoin(known.broken.addBranch())
             .then([this, number]() { finished_.push_back(number); },
--- a/nutmegarch/rules/rules_in_force.h
+++ b/nutmegarch/rules/rules_in_force.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "nutmegarch/rules/rule_table.h"
@@ -15,7 +16,10 @@
   std::uint64_t revision = 0;
   std::uint64_t hash = 0;
 
-  friend auto operator<=>(const rules_order&, const rules_order&) = default;
+  friend bool operator<(const rules_order& left, const rules_order& right) {
+    return std::tie(left.version, left.revision, left.hash) <
+           std::tie(right.version, right.revision, right.hash);
+  }
 };
 
 /// What became of a rule file that was offered.
--- a/performance_test/virtual_time/chain_measures.cpp
+++ b/performance_test/virtual_time/chain_measures.cpp
@@ -15,6 +15,10 @@
 constexpr duration slow_begin = seconds(5);
 constexpr duration slow_end = seconds(35);
 
+/// Stalls of one target of the deepest service.
+constexpr duration stall_interval = seconds(4);
+constexpr duration stall_length = milliseconds(500);
+
 /// The four services of the Rodopa deployment, one after the other.
 deployment_plan rodopa_chain(bool baseline) {
   service_shape upper;
@@ -70,9 +74,7 @@
     const double capacity = fleet.capacity(3);
     slow_deepest(fleet);
 
-    // One target of the deepest service stalls for half a second, every 4 seconds.
-    constexpr duration stall_interval = seconds(4);
-    constexpr duration stall_length = milliseconds(500);
+    // One target of the deepest service stalls again and again.
     fake_node* const stalled = fleet.nodes(3).front();
     int stalls = 0;
     for (duration at = slow_begin + seconds(1); at + stall_length <= slow_end; at += stall_interval) {
--- /dev/null
+++ b/unit_tests/http/http_test.cpp
@@ -0,0 +1,181 @@
+#include <atomic>
+#include <thread>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "nutmegarch/http/address.h"
+#include "nutmegarch/http/client_pool.h"
+#include "nutmegarch/http/server.h"
+
+namespace nutmegarch::http {
+
+namespace {
+
+using tcp = boost::asio::ip::tcp;
+
+/// Accepts one connection, reads some of the request, writes a text, and closes it or keeps it open.
+class raw_peer {
+ public:
+  explicit raw_peer(std::string text, bool closes = true)
+      : text_(std::move(text)),
+        closes_(closes),
+        acceptor_(context_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
+    thread_ = std::thread([this]() { serve(); });
+  }
+  raw_peer(const raw_peer&) = delete;
+  raw_peer& operator=(const raw_peer&) = delete;
+  ~raw_peer() {
+    is_over_ = true;
+    // Wakes the thread up, whatever it waits for.
+    tcp::socket waker(context_);
+    boost::system::error_code ignored;
+    waker.connect(acceptor_.local_endpoint(), ignored);
+    thread_.join();
+  }
+
+  tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+
+ private:
+  void serve() {
+    boost::system::error_code ignored;
+    tcp::socket socket = acceptor_.accept();
+    std::array<char, 4096> buffer{};
+    socket.read_some(boost::asio::buffer(buffer), ignored);
+    boost::asio::write(socket, boost::asio::buffer(text_), ignored);
+    if (closes_) {
+      socket.close(ignored);
+    }
+    if (!is_over_) {
+      acceptor_.accept(ignored);
+    }
+  }
+
+  std::string text_;
+  bool closes_;
+  std::atomic<bool> is_over_{false};
+  boost::asio::io_context context_;
+  tcp::acceptor acceptor_;
+  std::thread thread_;
+};
+
+result<answer_message, client_error> get(const tcp::endpoint& address, duration timeout) {
+  boost::asio::io_context workers;
+  client_pool pool(workers, address, {});
+  result<answer_message, client_error> found = client_error::unreachable;
+  pool.send({"GET", "/", {}, ""}, timeout,
+            [&](const result<answer_message, client_error>& outcome) { found = outcome; });
+  workers.run();
+  return found;
+}
+
+client_error error_of(const result<answer_message, client_error>& outcome) {
+  BOOST_REQUIRE(!succeeded(outcome));
+  return std::get<client_error>(outcome);
+}
+
+class echo final : public request_handler {
+ public:
+  void on_request(std::uint64_t, request_message request, reply answer) override {
+    answer({200, {{"X-Method", request.method}}, request.body + request.target});
+  }
+  void on_bad_request(int status, const std::string&) override { last_bad_status = status; }
+
+  std::atomic<int> last_bad_status{0};
+};
+
+/// A server on workers of its own.
+struct served {
+  boost::asio::io_context workers;
+  echo handler;
+  server tested;
+  std::thread thread;
+
+  explicit served(const server_settings& settings) : tested(workers, settings, handler) {
+    BOOST_REQUIRE(tested.start("127.0.0.1:0"));
+    thread = std::thread([this]() { workers.run(); });
+  }
+  served(const served&) = delete;
+  served& operator=(const served&) = delete;
+  ~served() {
+    workers.stop();
+    thread.join();
+  }
+
+  std::string exchange(const std::string& raw) {
+    boost::asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect(*parse_address("127.0.0.1:" + std::to_string(tested.port())));
+    boost::asio::write(socket, boost::asio::buffer(raw));
+    socket.shutdown(tcp::socket::shutdown_send);
+    std::string answer;
+    std::array<char, 4096> buffer{};
+    boost::system::error_code error;
+    while (!error) {
+      answer.append(buffer.data(), socket.read_some(boost::asio::buffer(buffer), error));
+    }
+    return answer;
+  }
+};
+
+constexpr duration patience = std::chrono::seconds(20);
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(http_edges)
+
+BOOST_AUTO_TEST_CASE(an_answer_that_is_cut_off_is_never_passed_on) {
+  const raw_peer short_body("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+  BOOST_TEST((error_of(get(short_body.address(), patience)) == client_error::lost));
+  const raw_peer short_chunks("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+  BOOST_TEST((error_of(get(short_chunks.address(), patience)) == client_error::lost));
+  const raw_peer no_end("HTTP/1.1 200 OK\r\n\r\nall or half?");
+  BOOST_TEST((error_of(get(no_end.address(), patience)) == client_error::malformed));
+}
+
+BOOST_AUTO_TEST_CASE(a_whole_answer_is_passed_on) {
+  const raw_peer whole("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n\r\n");
+  const result<answer_message, client_error> outcome = get(whole.address(), patience);
+  BOOST_REQUIRE(succeeded(outcome));
+  BOOST_TEST(std::get<answer_message>(outcome).body == "half");
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_target_and_an_absent_one_are_told_apart) {
+  const raw_peer silent("", false);
+  BOOST_TEST((error_of(get(silent.address(), std::chrono::milliseconds(50))) == client_error::timed_out));
+  tcp::endpoint absent;
+  {
+    boost::asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    absent = acceptor.local_endpoint();
+  }
+  BOOST_TEST((error_of(get(absent, patience)) == client_error::unreachable));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_is_answered_and_bad_ones_are_refused) {
+  server_settings settings;
+  settings.most_body_bytes = 1'000;
+  served fixture(settings);
+  BOOST_TEST(fixture.exchange("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").find("/a") !=
+             std::string::npos);
+  BOOST_TEST(fixture.exchange("nonsense\r\n\r\n").find(" 400 ") != std::string::npos);
+  BOOST_TEST(fixture.handler.last_bad_status == 400);
+  const std::string large =
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" + std::string(2'000, 'x');
+  const std::string refused = fixture.exchange(large);
+  BOOST_TEST(refused.find(" 413 ") != std::string::npos);
+  BOOST_TEST(refused.find("not-run") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(addresses_are_numbers) {
+  BOOST_TEST(parse_address("127.0.0.1:80").has_value());
+  BOOST_TEST(parse_address("[::1]:80").has_value());
+  for (const char* const bad : {"localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:70000", ":80", ""}) {
+    BOOST_TEST(!parse_address(bad).has_value(), bad);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace nutmegarch::http
--- /dev/null
+++ b/unit_tests/policy/crash_registry_test.cpp
@@ -0,0 +1,69 @@
+#include "nutmegarch/policy/crash_registry.h"
+
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+namespace nutmegarch::policy {
+
+namespace {
+
+constexpr time_point begin{std::chrono::seconds(100)};
+constexpr std::uint64_t killer = 42;
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(crashes)
+
+// A caller sends the request again and again to any node, each time after the last one failed. Nodes tell
+// their peers of a crash before the caller can know of it.
+RC_BOOST_PROP(at_most_two_targets_crash_for_one_request, ()) {
+  const std::size_t nodes = *rc::gen::inRange<std::size_t>(1, 20);
+  const std::vector<std::size_t> sends =
+      *rc::gen::container<std::vector<std::size_t>>(rc::gen::inRange<std::size_t>(0, 100));
+  std::vector<crash_registry> registries(nodes, crash_registry(crash_settings{}));
+  int crashed = 0;
+  time_point now = begin;
+  for (const std::size_t send : sends) {
+    now += std::chrono::milliseconds(500);
+    crash_registry& at = registries.at(send % nodes);
+    if (at.refused(killer, now)) {
+      continue;
+    }
+    ++crashed;
+    at.on_crash(killer, now);
+    for (crash_registry& other : registries) {
+      for (const crash_mark& mark : at.marks(now)) {
+        other.merge(mark, now);
+      }
+    }
+  }
+  RC_ASSERT(crashed <= 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_ran_to_its_end_is_not_blamed) {
+  crash_registry registry(crash_settings{});
+  registry.on_success(7, begin);
+  registry.on_crash(7, begin + std::chrono::seconds(1));
+  registry.merge({7, 2}, begin + std::chrono::seconds(2));
+  BOOST_TEST(!registry.refused(7, begin + std::chrono::seconds(3)));
+}
+
+BOOST_AUTO_TEST_CASE(marks_expire_and_the_table_is_bounded) {
+  crash_settings settings;
+  settings.capacity = 2;
+  crash_registry registry(settings);
+  for (std::uint64_t fingerprint = 1; fingerprint <= 3; ++fingerprint) {
+    registry.on_crash(fingerprint, begin);
+    registry.on_crash(fingerprint, begin);
+  }
+  BOOST_TEST(registry.marks(begin).size() == 2U);
+  BOOST_TEST(registry.refused(3, begin));
+  BOOST_TEST(!registry.refused(1, begin));
+  BOOST_TEST(!registry.refused(3, begin + settings.lifetime));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace nutmegarch::policy
--- /dev/null
+++ b/unit_tests/protocol/peer_network_test.cpp
@@ -0,0 +1,151 @@
+#include "nutmegarch/protocol/peer_network.h"
+
+#include <future>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace nutmegarch::protocol {
+
+namespace {
+
+/// Answers calls at once, or never when the route says so.
+class test_service final : public peer_service {
+ public:
+  explicit test_service(peer_network& network) : network_(network) {}
+
+  void on_call(std::uint64_t exchange, peer_call call) override {
+    if (call.context.route == "never") {
+      arrived.set_value();
+      return;
+    }
+    peer_answer answer;
+    answer.outcome = call_outcome::ok;
+    answer.message.status = 200;
+    answer.message.body = call.request->body + call.context.service;
+    answer.ticket = call.context.ticket;
+    answer.report.incarnation = call.context.ticket ? call.context.ticket->incarnation : 0;
+    network_.answer(exchange, answer);
+  }
+  void on_cancel(std::uint64_t) override { cancelled.set_value(); }
+  void on_ticket_request(std::uint64_t exchange, peer_call) override {
+    network_.answer(exchange, peer_answer{});
+  }
+  peer_exchange on_exchange(peer_exchange offer) override {
+    offer.self.host += "-answered";
+    return offer;
+  }
+
+  std::promise<void> arrived;
+  std::promise<void> cancelled;
+
+ private:
+  peer_network& network_;
+};
+
+/// A free port of the loopback address.
+std::string free_address() {
+  boost::asio::io_context context;
+  const boost::asio::ip::tcp::acceptor acceptor(
+      context, boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+struct two_networks {
+  peer_network_settings settings;
+  std::string address = free_address();
+  peer_network server{settings};
+  peer_network client{settings};
+  test_service server_service{server};
+  test_service client_service{client};
+
+  two_networks() {
+    BOOST_REQUIRE(server.start(address, server_service));
+    BOOST_REQUIRE(client.start(free_address(), client_service));
+  }
+  two_networks(const two_networks&) = delete;
+  two_networks& operator=(const two_networks&) = delete;
+  ~two_networks() {
+    client.stop();
+    server.stop();
+  }
+
+  result<peer_answer, peer_error> call(const std::string& to, const std::string& route) {
+    std::promise<result<peer_answer, peer_error>> done;
+    client.call(to, make_call(route),
+                [&done](const result<peer_answer, peer_error>& outcome) { done.set_value(outcome); });
+    return done.get_future().get();
+  }
+
+  static peer_call make_call(const std::string& route) {
+    peer_call call;
+    call.context.service = "stockyard";
+    call.context.route = route;
+    call.context.ticket = order_ticket{7, 8};
+    call.request =
+        std::make_shared<const request_message>(request_message{"POST", "/a", {{"A", "b"}}, "body of "});
+    return call;
+  }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(peers)
+
+BOOST_FIXTURE_TEST_CASE(a_call_comes_back_with_its_own_answer, two_networks) {
+  const result<peer_answer, peer_error> outcome = call(address, "GET /a");
+  BOOST_REQUIRE(succeeded(outcome));
+  BOOST_TEST(std::get<peer_answer>(outcome).message.body == "body of stockyard");
+  BOOST_TEST((std::get<peer_answer>(outcome).ticket == order_ticket{7, 8}));
+}
+
+BOOST_FIXTURE_TEST_CASE(an_absent_peer_is_unreachable_and_nothing_was_written, two_networks) {
+  const result<peer_answer, peer_error> outcome = call(free_address(), "GET /a");
+  BOOST_REQUIRE(!succeeded(outcome));
+  BOOST_TEST((std::get<peer_error>(outcome) == peer_error::unreachable));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_cancelled_call_is_cancelled_at_the_peer, two_networks) {
+  const std::uint64_t number =
+      client.call(address, make_call("never"), [](const result<peer_answer, peer_error>&) {});
+  server_service.arrived.get_future().get();
+  client.cancel(number);
+  server_service.cancelled.get_future().get();
+}
+
+BOOST_FIXTURE_TEST_CASE(a_connection_that_swallows_everything_is_found_by_pings, two_networks) {
+  // It accepts by the kernel's queue and never reads or writes.
+  boost::asio::io_context context;
+  const boost::asio::ip::tcp::acceptor silent(
+      context, boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  const std::string to = "127.0.0.1:" + std::to_string(silent.local_endpoint().port());
+  const result<peer_answer, peer_error> outcome = call(to, "GET /a");
+  BOOST_REQUIRE(!succeeded(outcome));
+  BOOST_TEST((std::get<peer_error>(outcome) == peer_error::lost));
+  // Other connections go on.
+  BOOST_TEST(succeeded(call(address, "GET /a")));
+}
+
+BOOST_FIXTURE_TEST_CASE(an_exchange_carries_digests_documents_and_marks, two_networks) {
+  peer_exchange offer;
+  offer.self = {"host", 5, true};
+  offer.digest = {{"rules", 1, 2, 3}};
+  offer.documents = {{{"rules", 1, 2, 3}, "text"}};
+  offer.marks = {{99, 2}};
+  std::promise<result<peer_exchange, peer_error>> done;
+  client.exchange(address, offer,
+                  [&done](const result<peer_exchange, peer_error>& outcome) { done.set_value(outcome); });
+  const result<peer_exchange, peer_error> outcome = done.get_future().get();
+  BOOST_REQUIRE(succeeded(outcome));
+  const peer_exchange& reply = std::get<peer_exchange>(outcome);
+  BOOST_TEST(reply.self.host == "host-answered");
+  BOOST_TEST(reply.self.leaving);
+  BOOST_TEST(reply.digest.front().hash == 3U);
+  BOOST_TEST(reply.documents.front().body == "text");
+  BOOST_TEST(reply.marks.front().crashes == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace nutmegarch::protocol
