--- a/nutmegarch/load/load_generator.cpp
+++ b/nutmegarch/load/load_generator.cpp
@@ -154,6 +154,9 @@
     message.target = made->kind->path;
     const std::int64_t milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(patience).count();
     message.fields = {{node::header_names::timeout, std::to_string(milliseconds) + "ms"}};
+    if (!made->kind->service.empty()) {
+      message.fields.push_back({node::header_names::service, made->kind->service});
+    }
     if (made->kind->cls == call_class::important) {
       message.fields.push_back({node::header_names::priority, "u=1"});
     }
--- a/nutmegarch/load/load_settings.cpp
+++ b/nutmegarch/load/load_settings.cpp
@@ -32,6 +32,7 @@
     request_kind kind;
     reader.read_text(pointer + "/method", kind.method);
     reader.read_text(pointer + "/path", kind.path);
+    reader.read_text(pointer + "/service", kind.service);
     reader.read_number(pointer + "/share", kind.share, 0, 1e6);
     reader.read_choice<call_class>(
         pointer + "/class", kind.cls,
--- a/nutmegarch/load/load_settings.h
+++ b/nutmegarch/load/load_settings.h
@@ -13,6 +13,8 @@
 struct request_kind {
   std::string method = "GET";
   std::string path = "/";
+  /// Service that it is for, when it is not the entry's own.
+  std::string service;
   /// Share of all requests; shares are weighed against each other.
   double share = 1;
   /// Class under which it is counted; "order" asks for a ticket first.
--- a/nutmegarch/policy/sender.cpp
+++ b/nutmegarch/policy/sender.cpp
@@ -383,9 +383,12 @@
     if (!open.open) {
       continue;
     }
-    // Time out of a silent endpoint counts against it; an attempt that lost to a hedge does not.
-    if (outcome == call_outcome::unknown && reason == call_reason::deadline) {
-      note_loss(state_of(call->context.service), *open.to, now);
+    // An attempt that waits while its endpoint answers nothing at all counts against the endpoint.
+    service_state& service = state_of(call->context.service);
+    const bool is_silent =
+        open.to->awaiting_since <= open.sent && is_stalled(service, *open.to, call->context.route, now);
+    if (is_silent) {
+      note_loss(service, *open.to, now);
     }
     close(open);
     sender_action action;
@@ -445,7 +448,9 @@
 
 void sender::note_loss(service_state& service, endpoint& from, time_point now) {
   ++from.consecutive_losses;
-  if (from.consecutive_losses < settings_.losses_to_eject || now < from.ejected_until) {
+  // One that was out is on probation: its next loss takes it out again.
+  const int allowed = from.ejections > 0 ? 1 : settings_.losses_to_eject;
+  if (from.consecutive_losses < allowed || now < from.ejected_until) {
     return;
   }
 
--- a/nutmegarch/policy/sender.h
+++ b/nutmegarch/policy/sender.h
@@ -34,7 +34,7 @@
   /// A level that came with an answer counts for this long.
   duration level_lifetime = std::chrono::seconds(1);
   /// Attempts lost in a row that eject an endpoint.
-  int losses_to_eject = 5;
+  int losses_to_eject = 3;
   /// First ejection; doubles with each further one.
   duration ejection = std::chrono::seconds(1);
   duration longest_ejection = std::chrono::seconds(30);
--- a/performance_test/virtual_time/chain_measures.cpp
+++ b/performance_test/virtual_time/chain_measures.cpp
@@ -117,9 +117,9 @@
   settings.retry_budget = 1;
   for (int i = 0; i < depth; ++i) {
     hops.push_back(std::make_unique<policy::sender>(settings, random));
-    std::vector<policy::endpoint_ptr> endpoints;
-    for (int k = 0; k < 4; ++k) {
-      endpoints.emplace_back(new policy::endpoint());
+    std::vector<policy::endpoint_ptr> endpoints(4);
+    for (policy::endpoint_ptr& known : endpoints) {
+      known = policy::endpoint_ptr(new policy::endpoint());
     }
     hops.back()->set_endpoints("next", endpoints);
   }
--- a/performance_test/virtual_time/routing_measures.cpp
+++ b/performance_test/virtual_time/routing_measures.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <functional>
 
 #include "performance_test/virtual_time/fake_callers.h"
@@ -91,8 +92,9 @@
     settings.rate = [capacity](duration elapsed) { return (elapsed < seconds(15) ? 0.35 : 0.8) * capacity; };
     fake_callers callers(fleet, settings);
     callers.run();
+    // At least one byte counts as needed, so that a run in which none was can be told.
     const double needed = fleet.network().link_bytes() - fleet.network().avoidable_link_bytes();
-    return needed == 0 ? 0 : fleet.network().link_bytes() / needed;
+    return fleet.network().link_bytes() / std::max(1.0, needed);
   };
   return {run(true), run(false)};
 }
--- a/unit_tests/policy/retry_test.cpp
+++ b/unit_tests/policy/retry_test.cpp
@@ -29,9 +29,9 @@
     settings.retries.capacity = 1'000;
     for (int i = 0; i < plan.depth; ++i) {
       hops_.push_back(std::make_unique<sender>(settings, random_));
-      std::vector<endpoint_ptr> endpoints;
-      for (int k = 0; k < 12; ++k) {
-        endpoints.emplace_back(new endpoint());
+      std::vector<endpoint_ptr> endpoints(12);
+      for (endpoint_ptr& known : endpoints) {
+        known = endpoint_ptr(new endpoint());
       }
       hops_.back()->set_endpoints("next", endpoints);
     }
--- a/unit_tests/policy/sender_test.cpp
+++ b/unit_tests/policy/sender_test.cpp
@@ -217,6 +217,29 @@
   BOOST_TEST(call->attempts.front().to == endpoints.at(1));
 }
 
+// Found by stopping a process: each hedge hid the silent endpoint, until the hedges were used up.
+BOOST_FIXTURE_TEST_CASE(an_endpoint_that_only_hedges_answer_for_is_ejected, fixture) {
+  const std::vector<endpoint_ptr> endpoints = make_endpoints(2);
+  tested.set_endpoints("s", endpoints);
+  time_point now = begin;
+  for (int i = 0; i < 200; ++i) {
+    const outbound_call_ptr call = make_call(now + std::chrono::seconds(1), true);
+    sender_actions made;
+    tested.start(call, now, made);
+    if (call->attempts.front().to == endpoints.at(0)) {
+      now += std::chrono::milliseconds(500);
+      tested.on_time(now, made);
+      BOOST_REQUIRE(call->attempts.size() == 2U);
+    }
+    now += std::chrono::milliseconds(5);
+    tested.on_answer(call, call->attempts.size() - 1, make_answer(call_outcome::ok), now, made);
+    if (now < endpoints.at(0)->ejected_until) {
+      return;
+    }
+  }
+  BOOST_FAIL("never ejected");
+}
+
 BOOST_AUTO_TEST_CASE(the_link_keeps_room_for_orders) {
   byte_bucket link({1'000, 1'000, 0.3});
   BOOST_TEST(link.withdraw(600, call_class::browse, begin));
--- a/unit_tests/settings/settings_test.cpp
+++ b/unit_tests/settings/settings_test.cpp
@@ -47,6 +47,7 @@
     "admision": {"queue_share": 2}
   })");
   std::vector<std::string> pointers;
+  pointers.reserve(errors.size());
   for (const settings_error& error : errors) {
     pointers.push_back(error.pointer);
   }
