Run KJ's event loop on Boost.Asio, so that one thread serves peers and HTTP

Cause: a call through two nodes changed threads nine times; slow calls come in bursts in which each change costs up to 1 ms on this machine (the run queues of the processes show no wait inside it). Change: an event port and a stream of our own put KJ on an io_context; with one worker, the default, HTTP runs there too. Four changes of threads are left.

--- a/nutmegarch/node/node.cpp
+++ b/nutmegarch/node/node.cpp
@@ -15,9 +15,10 @@
 
 node::node(const node_settings& settings, std::uint64_t incarnation, std::uint64_t seed)
     : state_(settings, incarnation, seed),
-      workers_(settings.identity.workers),
-      work_(workers_.get_executor()),
-      peers_(settings.peers),
+      pool_io_(settings.identity.workers),
+      work_(pool_io_.get_executor()),
+      workers_(settings.identity.workers == 1 ? network_io_ : pool_io_),
+      peers_(network_io_, settings.peers),
       inbound_(std::make_shared<inbound_path>(state_, workers_)),
       outbound_(std::make_shared<outbound_path>(state_, inbound_, peers_)),
       control_(std::make_shared<control_path>(state_, workers_, peers_)),
@@ -29,8 +30,8 @@
 }
 
 node::~node() {
-  peers_.stop();
-  workers_.stop();
+  peers_.request_stop();
+  pool_io_.stop();
   wait();
 }
 
@@ -53,8 +54,8 @@
   last_tick_ = state_.clock.now();
   control_->start();
   schedule_tick();
-  for (int i = 0; i < state_.settings.identity.workers; ++i) {
-    threads_.emplace_back([this]() { workers_.run(); });
+  for (int i = 0; i < state_.settings.identity.workers && &workers_ == &pool_io_; ++i) {
+    threads_.emplace_back([this]() { pool_io_.run(); });
   }
   return {};
 }
@@ -67,6 +68,7 @@
       thread.join();
     }
   }
+  peers_.join();
 }
 
 void node::on_call(std::uint64_t exchange, protocol::peer_call call) {
@@ -184,8 +186,8 @@
   // Answers that were just given are still on their way out.
   timer_.expires_after(std::chrono::milliseconds(200));
   timer_.async_wait([this](const boost::system::error_code&) {
-    peers_.stop();
-    workers_.stop();
+    peers_.request_stop();
+    pool_io_.stop();
   });
 }
 
--- a/nutmegarch/node/node.h
+++ b/nutmegarch/node/node.h
@@ -40,8 +40,12 @@
   void finish();
 
   node_state state_;
-  boost::asio::io_context workers_;
+  /// Runs on the network's thread. With one worker, that thread serves the HTTP connections too.
+  boost::asio::io_context network_io_{1};
+  /// Runs on the threads of the pool; without handlers when there is one worker.
+  boost::asio::io_context pool_io_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+  boost::asio::io_context& workers_;
   protocol::peer_network peers_;
   std::shared_ptr<inbound_path> inbound_;
   std::shared_ptr<outbound_path> outbound_;
--- a/nutmegarch/node/node_settings.h
+++ b/nutmegarch/node/node_settings.h
@@ -25,8 +25,9 @@
   std::string region;
   /// Services that the target beside this node calls.
   std::vector<std::string> calls;
-  /// Threads that serve connections and run decisions.
-  int workers = 2;
+  /// Threads that serve HTTP connections. With 1, the thread of the peers' connections serves them too, which
+  /// saves changes of threads; with more, they get a pool of their own.
+  int workers = 1;
 };
 
 /// Addresses that a node listens on, as IP:PORT.
--- a/nutmegarch/protocol/peer_network.cpp
+++ b/nutmegarch/protocol/peer_network.cpp
@@ -1,11 +1,10 @@
 #include "nutmegarch/protocol/peer_network.h"
 
 #include <atomic>
-#include <future>
 #include <map>
-#include <mutex>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <sys/eventfd.h>
 #include <thread>
 #include <unistd.h>
@@ -13,10 +12,16 @@
 #include <utility>
 #include <vector>
 
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <capnp/rpc-twoparty.h>
-#include <kj/async-io.h>
 #include <kj/debug.h>
 
+#include "nutmegarch/http/address.h"
+#include "nutmegarch/protocol/asio_event_port.h"
+#include "nutmegarch/protocol/asio_stream.h"
 #include "nutmegarch/protocol/codec.h"
 
 namespace nutmegarch::protocol {
@@ -25,19 +30,21 @@
 
 constexpr duration tick_interval = std::chrono::milliseconds(100);
 
-kj::Duration to_kj(duration value) { return value.count() * kj::NANOSECONDS; }
+using tcp = boost::asio::ip::tcp;
 
 /// One connection to a peer, from its first attempt to connect on.
 struct connection : kj::Refcounted {
   std::string address;
-  kj::Own<kj::AsyncIoStream> stream;
+  kj::Own<asio_stream> stream;
   kj::Own<capnp::TwoPartyClient> client;
   kj::Maybe<wire::Peer::Client> peer;
+  kj::Own<kj::PromiseFulfiller<void>> make_ready;
   kj::ForkedPromise<void> ready = kj::Promise<void>(kj::READY_NOW).fork();
   kj::Own<kj::PromiseFulfiller<void>> break_up;
   kj::ForkedPromise<void> broken = kj::Promise<void>(kj::READY_NOW).fork();
   int open_calls = 0;
   bool ping_open = false;
+  time_point began{};
   time_point heard{};
   time_point ping_sent{};
 };
@@ -47,37 +54,35 @@
 /// Lives on the network's thread; only post() is called from others.
 class peer_network::impl final : public kj::TaskSet::ErrorHandler {
  public:
-  explicit impl(const peer_network_settings& settings)
-      : settings_(settings), wake_(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {}
-
-  ~impl() { ::close(wake_); }
+  impl(boost::asio::io_context& io, const peer_network_settings& settings)
+      : settings_(settings), io_(io), work_(io.get_executor()), acceptor_(io), timer_(io) {}
 
   bool start(const std::string& address, peer_service& service) {
     service_ = &service;
-    std::promise<bool> listening;
-    std::future<bool> is_listening = listening.get_future();
-    thread_ = std::thread([this, address, &listening]() { run(address, listening); });
-    return is_listening.get();
+    if (!listen(address)) {
+      return false;
+    }
+    thread_ = std::thread([this]() { run(); });
+    return true;
   }
 
-  void stop() {
-    if (!thread_.joinable()) {
-      return;
-    }
-    post([this]() { end_->fulfill(); });
-    thread_.join();
+  void request_stop() {
+    post([this]() {
+      if (end_) {
+        end_->fulfill();
+      }
+    });
   }
 
-  /// Runs a function on the network's thread.
-  void post(std::function<void()> job) {
-    {
-      const std::lock_guard<std::mutex> lock(mailbox_mutex_);
-      mailbox_.push_back(std::move(job));
+  void join() {
+    if (thread_.joinable()) {
+      thread_.join();
     }
-    const std::uint64_t one = 1;
-    [[maybe_unused]] const ssize_t written = ::write(wake_, &one, sizeof(one));
   }
 
+  /// Runs a function on the network's thread.
+  void post(std::function<void()> job) { boost::asio::post(io_, std::move(job)); }
+
   std::uint64_t next_number() { return ++last_number_; }
 
   void call(std::uint64_t number, const std::string& address, peer_call content, answer_callback done) {
@@ -127,33 +132,39 @@
  private:
   class server;
 
-  void run(const std::string& address, std::promise<bool>& listening) {
-    kj::AsyncIoContext io = kj::setupAsyncIo();
-    io_ = &io;
+  bool listen(const std::string& address) {
+    const std::optional<tcp::endpoint> endpoint = http::parse_address(address);
+    if (!endpoint) {
+      return false;
+    }
+    boost::system::error_code error;
+    acceptor_.open(endpoint->protocol(), error);
+    acceptor_.set_option(boost::asio::socket_base::reuse_address(true), error);
+    acceptor_.bind(*endpoint, error);
+    if (!error) {
+      acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+    }
+    return !error;
+  }
+
+  void run() {
+    asio_event_port port(io_);
+    kj::EventLoop loop(port);
+    kj::WaitScope scope(loop);
     kj::TaskSet tasks(*this);
     tasks_ = &tasks;
+    capnp::TwoPartyServer rpc_server(make_server());
     kj::PromiseFulfillerPair<void> end = kj::newPromiseAndFulfiller<void>();
     end_ = kj::mv(end.fulfiller);
-    kj::Own<kj::AsyncInputStream> wake =
-        io.lowLevelProvider->wrapInputFd(wake_, kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK);
-    tasks.add(read_mailbox(*wake));
-    tasks.add(tick());
-
-    // Listen, and tell the starting thread how that went.
-    kj::Own<kj::ConnectionReceiver> receiver;
-    capnp::TwoPartyServer rpc_server(make_server());
-    const kj::Maybe<kj::Exception> failure = kj::runCatchingExceptions([&]() {
-      receiver = io.provider->getNetwork().parseAddress(address.c_str()).wait(io.waitScope)->listen();
-      tasks.add(accept(*receiver, rpc_server));
-    });
-    const bool is_listening = failure == nullptr;
-    listening.set_value(is_listening);
-    if (is_listening) {
-      end.promise.wait(io.waitScope);
-    }
+    accept(rpc_server);
+    tick();
+    end.promise.wait(scope);
 
     // Nothing may run after this.
     is_ending_ = true;
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    timer_.cancel();
     outgoing_.clear();
     connections_.clear();
     dropped_.clear();
@@ -162,39 +173,27 @@
 
   capnp::Capability::Client make_server();
 
-  kj::Promise<void> accept(kj::ConnectionReceiver& receiver, capnp::TwoPartyServer& rpc_server) {
-    return receiver.accept().then([this, &receiver, &rpc_server](kj::Own<kj::AsyncIoStream> stream) {
-      send_at_once(*stream);
-      rpc_server.accept(kj::mv(stream));
-      return accept(receiver, rpc_server);
-    });
-  }
-
-  /// Small messages must not wait for the acknowledgement of those before them.
-  static void send_at_once(kj::AsyncIoStream& stream) {
-    int no_delay = 1;
-    stream.setsockopt(IPPROTO_TCP, TCP_NODELAY, &no_delay, sizeof(no_delay));
-  }
-
-  kj::Promise<void> read_mailbox(kj::AsyncInputStream& wake) {
-    return wake.read(&wake_count_, sizeof(wake_count_)).then([this, &wake]() {
-      std::vector<std::function<void()>> jobs;
-      {
-        const std::lock_guard<std::mutex> lock(mailbox_mutex_);
-        jobs.swap(mailbox_);
+  void accept(capnp::TwoPartyServer& rpc_server) {
+    acceptor_.async_accept([this, &rpc_server](const boost::system::error_code& error, tcp::socket socket) {
+      if (is_ending_ || !acceptor_.is_open()) {
+        return;
       }
-      for (const std::function<void()>& job : jobs) {
-        job();
+      if (!error) {
+        rpc_server.accept(kj::heap<asio_stream>(std::move(socket)));
       }
-      return read_mailbox(wake);
+      accept(rpc_server);
     });
   }
 
-  kj::Promise<void> tick() {
-    return io_->provider->getTimer().afterDelay(to_kj(tick_interval)).then([this]() {
+  void tick() {
+    timer_.expires_after(tick_interval);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+      if (error || is_ending_) {
+        return;
+      }
       clear_finished();
       watch_connections();
-      return tick();
+      tick();
     });
   }
 
@@ -205,6 +204,9 @@
     for (std::pair<const std::string, kj::Own<connection>>& entry : connections_) {
       connection& known = *entry.second;
       if (known.peer == nullptr) {
+        if (now - known.began > settings_.connect_timeout) {
+          to_drop.push_back(entry.first);
+        }
         continue;
       }
       const bool is_silent =
@@ -246,34 +248,41 @@
     kj::Own<connection> made = kj::refcounted<connection>();
     connection& known = *made;
     known.address = address;
+    known.began = clock_.now();
     kj::PromiseFulfillerPair<void> broken = kj::newPromiseAndFulfiller<void>();
     known.break_up = kj::mv(broken.fulfiller);
     known.broken = broken.promise.fork();
-    known.ready = io_->provider->getTimer()
-                      .timeoutAfter(to_kj(settings_.connect_timeout), open(address))
-                      .then([this, &known](kj::Own<kj::AsyncIoStream> stream) { use(known, kj::mv(stream)); })
-                      .fork();
+    kj::PromiseFulfillerPair<void> ready = kj::newPromiseAndFulfiller<void>();
+    known.make_ready = kj::mv(ready.fulfiller);
+    known.ready = ready.promise.fork();
+    open(known);
     connections_.emplace(address, kj::mv(made));
-    // A failed attempt must not stay, or no later call could try again.
-    tasks_->add(known.ready.addBranch().then([]() {}, [this, address](kj::Exception&&) { drop(address); }));
     return known;
   }
 
-  kj::Promise<kj::Own<kj::AsyncIoStream>> open(const std::string& address) {
-    return io_->provider->getNetwork()
-        .parseAddress(address.c_str())
-        .then([](kj::Own<kj::NetworkAddress> parsed) {
-          kj::Promise<kj::Own<kj::AsyncIoStream>> stream = parsed->connect();
-          return stream.attach(kj::mv(parsed));
+  void open(connection& known) {
+    const std::optional<tcp::endpoint> endpoint = http::parse_address(known.address);
+    const std::shared_ptr<tcp::socket> socket = std::make_shared<tcp::socket>(io_);
+    socket->async_connect(
+        endpoint.value_or(tcp::endpoint()),
+        [this, socket, held = kj::addRef(known)](const boost::system::error_code& error) mutable {
+          if (is_ending_ || !is_current(*held)) {
+            return;
+          }
+          if (error) {
+            drop(held->address);
+            return;
+          }
+          use(*held, std::move(*socket));
         });
   }
 
-  void use(connection& known, kj::Own<kj::AsyncIoStream> stream) {
-    send_at_once(*stream);
-    known.stream = kj::mv(stream);
+  void use(connection& known, tcp::socket socket) {
+    known.stream = kj::heap<asio_stream>(std::move(socket));
     known.client = kj::heap<capnp::TwoPartyClient>(*known.stream);
     known.peer = known.client->bootstrap().castAs<wire::Peer>();
     known.heard = clock_.now();
+    known.make_ready->fulfill();
     kj::Own<connection> held = kj::addRef(known);
     tasks_->add(
         known.client->onDisconnect()
@@ -281,9 +290,13 @@
             .then([this, held = kj::mv(held)]() mutable { drop_this(*held); }, [](kj::Exception&&) {}));
   }
 
-  void drop_this(connection& known) {
+  bool is_current(const connection& known) const {
     auto found = connections_.find(known.address);
-    if (found != connections_.end() && found->second.get() == &known) {
+    return found != connections_.end() && found->second.get() == &known;
+  }
+
+  void drop_this(connection& known) {
+    if (is_current(known)) {
       drop(known.address);
     }
   }
@@ -341,17 +354,14 @@
 
   peer_network_settings settings_;
   system_time_source clock_;
-  int wake_;
-  std::uint64_t wake_count_ = 0;
   peer_service* service_ = nullptr;
   std::thread thread_;
   std::atomic<std::uint64_t> last_number_{0};
+  boost::asio::io_context& io_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+  tcp::acceptor acceptor_;
+  boost::asio::steady_timer timer_;
 
-  /// Guards the mailbox; no other lock is taken while it is held.
-  std::mutex mailbox_mutex_;
-  std::vector<std::function<void()>> mailbox_;
-
-  kj::AsyncIoContext* io_ = nullptr;
   kj::TaskSet* tasks_ = nullptr;
   kj::Own<kj::PromiseFulfiller<void>> end_;
   bool is_ending_ = false;
@@ -414,15 +424,21 @@
 
 capnp::Capability::Client peer_network::impl::make_server() { return kj::heap<server>(*this); }
 
-peer_network::peer_network(const peer_network_settings& settings) : impl_(std::make_unique<impl>(settings)) {}
+peer_network::peer_network(boost::asio::io_context& io, const peer_network_settings& settings)
+    : impl_(std::make_unique<impl>(io, settings)) {}
 
-peer_network::~peer_network() { stop(); }
+peer_network::~peer_network() {
+  request_stop();
+  join();
+}
 
 bool peer_network::start(const std::string& address, peer_service& service) {
   return impl_->start(address, service);
 }
 
-void peer_network::stop() { impl_->stop(); }
+void peer_network::request_stop() { impl_->request_stop(); }
+
+void peer_network::join() { impl_->join(); }
 
 std::uint64_t peer_network::call(const std::string& address, peer_call call, answer_callback done) {
   const std::uint64_t number = impl_->next_number();
--- a/nutmegarch/protocol/peer_network.h
+++ b/nutmegarch/protocol/peer_network.h
@@ -5,6 +5,8 @@
 #include <memory>
 #include <string>
 
+#include <boost/asio/io_context.hpp>
+
 #include "nutmegarch/core/result.h"
 #include "nutmegarch/protocol/peer_messages.h"
 
@@ -40,22 +42,26 @@
   duration idle_timeout = std::chrono::seconds(60);
 };
 
-/// Connections to peers and from peers: Cap'n Proto RPC on a thread of its own.
-/// All functions may be called from any thread; callbacks run on the network's thread and must not block.
+/// Connections to peers and from peers: Cap'n Proto RPC on a thread of its own, which also runs the handlers
+/// of the io_context that it was given. All functions may be called from any thread; callbacks run on the
+/// network's thread and must not block.
 class peer_network {
  public:
   using answer_callback = std::function<void(const result<peer_answer, peer_error>&)>;
   using exchange_callback = std::function<void(const result<peer_exchange, peer_error>&)>;
 
-  explicit peer_network(const peer_network_settings& settings);
+  /// Nobody else may run `io`.
+  peer_network(boost::asio::io_context& io, const peer_network_settings& settings);
   peer_network(const peer_network&) = delete;
   peer_network& operator=(const peer_network&) = delete;
   ~peer_network();
 
-  /// Starts to listen on "IP:PORT". The service must live until stop(). False when the address can't be had.
+  /// Starts to listen on "IP:PORT". The service must live until join(). False when the address can't be had.
   bool start(const std::string& address, peer_service& service);
-  /// Closes all connections and ends the thread. No callback runs afterwards.
-  void stop();
+  /// Ends the thread soon. Any thread may call it, the network's own included.
+  void request_stop();
+  /// Waits until the thread has ended and all connections are closed. No callback runs afterwards.
+  void join();
 
   /// @name Towards peers
   /// Each returns a number for cancel().
