Planned stops take the connections that wait and let the last answers leave; studies of the alternatives

Connections that the system had accepted were reset when the listener closed, and an answer could still be on its way when the threads ended. Change: the node takes what waits before it closes, closes kept connections after their next answer, and ends after 300 ms in which no call began or ran.

--- a/nutmegarch/http/server.cpp
+++ b/nutmegarch/http/server.cpp
@@ -207,17 +207,30 @@
     return true;
   }
 
+  void refuse_keep_alive() { state_->stopping = true; }
+
   void stop() {
-    state_->stopping = true;
-    asio::post(acceptor_.get_executor(), [self = shared_from_this()]() {
-      beast::error_code ignored;
-      self->acceptor_.close(ignored);
-    });
+    refuse_keep_alive();
+    asio::post(acceptor_.get_executor(), [self = shared_from_this()]() { self->close(); });
   }
 
   int port() const { return acceptor_.local_endpoint().port(); }
 
  private:
+  /// Connections that the system has accepted would be cut off by closing, so they are taken first.
+  void close() {
+    beast::error_code error;
+    acceptor_.non_blocking(true, error);
+    while (!error) {
+      tcp::socket socket(asio::make_strand(workers_));
+      acceptor_.accept(socket, error);
+      if (!error) {
+        std::make_shared<session>(std::move(socket), state_)->start();
+      }
+    }
+    acceptor_.close(error);
+  }
+
   void accept() {
     acceptor_.async_accept(asio::make_strand(workers_),
                            [self = shared_from_this()](beast::error_code error, tcp::socket socket) {
@@ -247,6 +260,8 @@
 
 bool server::start(const std::string& address) { return listener_->start(address); }
 
+void server::refuse_keep_alive() { listener_->refuse_keep_alive(); }
+
 void server::stop() { listener_->stop(); }
 
 int server::port() const { return listener_->port(); }
--- a/nutmegarch/http/server.h
+++ b/nutmegarch/http/server.h
@@ -53,7 +53,9 @@
 
   /// Listens on "IP:PORT". False when the address can't be had.
   bool start(const std::string& address);
-  /// Accepts no more connections, and closes each after the answer that it waits for.
+  /// Closes each connection after its next answer, so that callers move on.
+  void refuse_keep_alive();
+  /// Takes the connections that wait, and then accepts no more.
   void stop();
   /// The port that it listens on.
   int port() const;
--- a/nutmegarch/node/node.cpp
+++ b/nutmegarch/node/node.cpp
@@ -10,6 +10,8 @@
 /// Time between two ticks while calls are open, and while none is.
 constexpr duration busy_tick = std::chrono::milliseconds(2);
 constexpr duration idle_tick = std::chrono::milliseconds(20);
+/// Requests on connections that were taken last come within this time.
+constexpr duration last_requests = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -169,26 +171,37 @@
     }
     state_.events.add(observe::event_kind::leaving, {}, state_.settings.identity.host, "");
     observe::log_event(observe::log_level::info, "leaving", {{"host", state_.settings.identity.host}});
+    callers_server_.refuse_keep_alive();
     control_->announce_leaving();
     return;
   }
-  const bool is_idle = inbound_->is_idle() && outbound_->is_idle();
-  const bool is_over = is_idle && now - leave_began_ >= state_.settings.lifecycle.leave_grace;
-  if (is_over || now - leave_began_ >= state_.settings.lifecycle.longest_leave) {
-    finish();
-  }
-}
 
-void node::finish() {
-  finished_ = true;
-  callers_server_.stop();
-  admin_server_.stop();
-  // Answers that were just given are still on their way out.
-  timer_.expires_after(std::chrono::milliseconds(200));
-  timer_.async_wait([this](const boost::system::error_code&) {
+  // Senders know by now and nothing runs: take the last connections, and give their requests time to come.
+  const bool is_late = now - leave_began_ >= state_.settings.lifecycle.longest_leave;
+  if (accept_ended_ == time_point{}) {
+    const bool has_grace_passed = now - leave_began_ >= state_.settings.lifecycle.leave_grace;
+    if (is_late || (has_been_idle(now, duration{}) && has_grace_passed)) {
+      accept_ended_ = now;
+      callers_server_.stop();
+      admin_server_.stop();
+    }
+    return;
+  }
+  if (is_late || (has_been_idle(now, last_requests) && now - accept_ended_ >= last_requests)) {
+    finished_ = true;
     peers_.request_stop();
     pool_io_.stop();
-  });
+  }
+}
+
+bool node::has_been_idle(time_point now, duration length) {
+  // A call may begin and end between two ticks, and its answer takes a moment to leave.
+  const std::uint64_t begun = outbound_->begun();
+  if (!inbound_->is_idle() || !outbound_->is_idle() || begun != calls_seen_) {
+    last_busy_ = now;
+  }
+  calls_seen_ = begun;
+  return now - last_busy_ >= length;
 }
 
 }  // namespace nutmegarch::node
--- a/nutmegarch/node/node.h
+++ b/nutmegarch/node/node.h
@@ -37,7 +37,7 @@
   void tick();
   void on_pause(duration length);
   void step_leaving(time_point now);
-  void finish();
+  bool has_been_idle(time_point now, duration length);
 
   node_state state_;
   /// Runs on the network's thread. With one worker, that thread serves the HTTP connections too.
@@ -59,6 +59,9 @@
   /// Used by the timer's handlers only, which run one after the other.
   time_point last_tick_{};
   time_point leave_began_{};
+  time_point accept_ended_{};
+  time_point last_busy_{};
+  std::uint64_t calls_seen_ = 0;
   std::atomic<bool> leave_requested_{false};
   bool finished_ = false;
 
--- a/nutmegarch/node/outbound_path.cpp
+++ b/nutmegarch/node/outbound_path.cpp
@@ -39,6 +39,7 @@
     : state_(state), local_(std::move(local)), peers_(peers) {}
 
 void outbound_path::on_request(std::uint64_t exchange, request_message request, reply answer) {
+  ++begun_;
   const std::shared_ptr<const request_message> shared =
       std::make_shared<const request_message>(std::move(request));
   built_call built;
--- a/nutmegarch/node/outbound_path.h
+++ b/nutmegarch/node/outbound_path.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -26,6 +27,8 @@
   time_point next_timer() const { return state_.sender.next_timer(); }
   /// True when no call is open. Takes the state's lock.
   bool is_idle() const;
+  /// Calls that have ever begun.
+  std::uint64_t begun() const { return begun_; }
   /// Calls that are open now. Holds the state's lock.
   std::size_t size() const { return calls_.size(); }
 
@@ -63,6 +66,7 @@
   node_state& state_;
   std::shared_ptr<inbound_path> local_;
   protocol::peer_network& peers_;
+  std::atomic<std::uint64_t> begun_{0};
 
   /// Guarded by the state's lock.
   std::unordered_map<std::uint64_t, entry> calls_;
--- a/performance_test/main.cpp
+++ b/performance_test/main.cpp
@@ -7,6 +7,7 @@
 #include <tclap/CmdLine.h>
 
 #include "performance_test/virtual_time/measure.h"
+#include "performance_test/virtual_time/studies.h"
 
 namespace {
 
@@ -39,7 +40,12 @@
   TCLAP::ValueArg<int> seeds("", "seeds", "Runs seeds 1 to N and prints the worst.", false, 1, "N", command);
   TCLAP::UnlabeledMultiArg<std::string> names("names", "Measures to run; all when none is given.", false,
                                               "name", command);
+  TCLAP::SwitchArg studies("", "studies", "Prints the alternatives of the decisions instead.", command);
   command.parse(argc, argv);
+  if (studies.getValue()) {
+    nutmegarch::performance_test::run_studies(static_cast<std::uint64_t>(seed.getValue()));
+    return 0;
+  }
 
   // The measures share nothing, so each gets a thread; rows print in their fixed order.
   std::vector<std::future<measured>> results;
