A limit that climbs to the best throughput; half as much room to wait

Change: the probing limit compares the throughput of the limit with that of 0.8 and 1.2 times it, when a full target is slower than one that is not. Room to wait 1.0 -> 0.5 of the slots, standing from 0.1.

--- a/nutmegarch/node/node_settings.cpp
+++ b/nutmegarch/node/node_settings.cpp
@@ -45,7 +45,8 @@
   reader.read_choice<policy::limit_kind>("/admission/limit", to.limit,
                                          {{"fixed", policy::limit_kind::fixed},
                                           {"aimd", policy::limit_kind::aimd},
-                                          {"gradient", policy::limit_kind::gradient}});
+                                          {"gradient", policy::limit_kind::gradient},
+                                          {"probing", policy::limit_kind::probing}});
   reader.read_choice<policy::queue_kind>("/admission/queue", to.queue,
                                          {{"fifo", policy::queue_kind::fifo},
                                           {"deadline", policy::queue_kind::deadline},
--- a/nutmegarch/policy/concurrency_limit.cpp
+++ b/nutmegarch/policy/concurrency_limit.cpp
@@ -1,6 +1,7 @@
 #include "nutmegarch/policy/concurrency_limit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace nutmegarch::policy {
 
@@ -15,6 +16,27 @@
 constexpr double long_weight = 0.002;
 /// Latency may exceed the long average by this factor before the limit falls.
 constexpr double latency_tolerance = 1.5;
+/// Calls in a window of the probing limit, at the least and for each call of the limit.
+constexpr int least_window_calls = 100;
+constexpr int window_calls_per_limit = 4;
+/// What a probe tries, as a share of the limit.
+constexpr double lower_probe = 0.8;
+constexpr double higher_probe = 1.2;
+/// Throughput of a probe over that at the limit, from which on the limit moves there. Half of the change that
+/// a target without contention would show.
+constexpr double lower_keeps = 0.9;
+constexpr double higher_gains = 1.1;
+/// Windows between two probes: after the first one that was of no use, and at the most.
+constexpr int first_probe_interval = 2;
+constexpr int most_probe_interval = 32;
+/// Latency over that of a target that is not full, from which on calls hold each other up.
+constexpr double contended_latency = 1.3;
+/// Growth of the uncontended latency in a window, so that an old one fades.
+constexpr double latency_fade = 1.01;
+/// Growth of the limit in a window in which the target was not full.
+constexpr double growth = 1.1;
+/// Share of a window's calls that must have seen a full target.
+constexpr double saturated_share = 0.9;
 /// Smallest limit of the gradient, as a share of the slots.
 constexpr double gradient_floor = 0.25;
 
@@ -55,6 +77,90 @@
   limit_ = std::clamp(limit_ + short_weight * (goal - limit_), floor, static_cast<double>(slots_));
 }
 
+int probing_limit::value() const {
+  const double share = probe_ == probe::lower ? lower_probe : probe_ == probe::higher ? higher_probe : 1.0;
+  return std::clamp(static_cast<int>(std::lround(limit_ * share)), 1, slots_);
+}
+
+void probing_limit::on_finish(duration latency, bool refused, int in_flight, time_point now) {
+  if (refused) {
+    limit_ = std::max(1.0, limit_ * decrease_factor);
+    return;
+  }
+  if (to_skip_ > 0) {
+    --to_skip_;
+    window_began_ = now;
+    return;
+  }
+  ++finished_;
+  latency_sum_ += seconds(latency);
+  saturated_ += in_flight >= value() ? 1 : 0;
+  if (finished_ >= std::max(least_window_calls, window_calls_per_limit * value())) {
+    end_window(now);
+  }
+}
+
+void probing_limit::end_window(time_point now) {
+  const double throughput = finished_ / std::max(1e-6, seconds(now - window_began_));
+  const bool is_saturated = saturated_ >= saturated_share * finished_;
+  const double latency = latency_sum_ / finished_;
+  finished_ = 0;
+  saturated_ = 0;
+  latency_sum_ = 0;
+  window_began_ = now;
+  if (probe_ == probe::none) {
+    end_steady(throughput, latency, is_saturated);
+  } else {
+    end_probe(throughput);
+  }
+}
+
+void probing_limit::end_probe(double throughput) {
+  const double needed = probe_ == probe::lower ? lower_keeps : higher_gains;
+  last_was_of_use_ = throughput >= needed * throughput_at_limit_;
+  if (last_was_of_use_) {
+    limit_ = value();
+    probe_interval_ = 0;
+  } else {
+    probe_interval_ = std::clamp(probe_interval_ * 2, first_probe_interval, most_probe_interval);
+  }
+  last_probe_ = probe_;
+  probe_ = probe::none;
+  windows_to_probe_ = probe_interval_;
+  to_skip_ = value();
+}
+
+void probing_limit::end_steady(double throughput, double latency, bool is_saturated) {
+  throughput_at_limit_ = throughput;
+  if (!is_saturated) {
+    const bool is_first = uncontended_latency_ == 0;
+    uncontended_latency_ = is_first ? latency : std::min(latency, uncontended_latency_ * latency_fade);
+    // Nobody asks for more; what was learned under pressure fades.
+    limit_ = std::min(static_cast<double>(slots_), limit_ * growth);
+    return;
+  }
+  // A full target that is as fast as an idle one bears its limit, and a probe would only waste its slots.
+  const bool is_contended = uncontended_latency_ == 0 || latency > contended_latency * uncontended_latency_;
+  if (!is_contended && limit_ >= slots_) {
+    return;
+  }
+  --windows_to_probe_;
+  if (windows_to_probe_ <= 0) {
+    probe_ = next_probe(is_contended);
+    to_skip_ = value();
+  }
+}
+
+probing_limit::probe probing_limit::next_probe(bool is_contended) const {
+  if (!is_contended) {
+    return probe::higher;
+  }
+  // Go on in a direction that was of use; else try the other one, as far as there is room.
+  const bool goes_lower = last_was_of_use_ ? last_probe_ == probe::lower : last_probe_ == probe::higher;
+  const bool has_room = limit_ < slots_;
+  return goes_lower || !has_room ? probe::lower : probe::higher;
+}
+
 std::unique_ptr<concurrency_limit> make_concurrency_limit(limit_kind kind, int slots) {
   switch (kind) {
     case limit_kind::fixed:
@@ -62,9 +168,11 @@
     case limit_kind::aimd:
       return std::make_unique<aimd_limit>(slots);
     case limit_kind::gradient:
+      return std::make_unique<gradient_limit>(slots);
+    case limit_kind::probing:
       break;
   }
-  return std::make_unique<gradient_limit>(slots);
+  return std::make_unique<probing_limit>(slots);
 }
 
 }  // namespace nutmegarch::policy
--- a/nutmegarch/policy/concurrency_limit.h
+++ b/nutmegarch/policy/concurrency_limit.h
@@ -64,8 +64,45 @@
   double long_average_ = 0;
 };
 
+/// Climbs towards the limit with the best throughput: now and then it tries a lower or a higher limit, and
+/// moves when the throughput shows that the target bears fewer or more calls than the limit says. Never above
+/// the slots.
+class probing_limit final : public concurrency_limit {
+ public:
+  explicit probing_limit(int slots) : slots_(slots), limit_(slots) {}
+
+  int value() const override;
+  void on_finish(duration latency, bool refused, int in_flight, time_point now) override;
+
+ private:
+  enum class probe : std::uint8_t { none, lower, higher };
+
+  void end_window(time_point now);
+  void end_probe(double throughput);
+  void end_steady(double throughput, double latency, bool is_saturated);
+  probe next_probe(bool is_contended) const;
+
+  int slots_;
+  double limit_;
+  probe probe_ = probe::none;
+  probe last_probe_ = probe::higher;
+  bool last_was_of_use_ = false;
+  /// Finished calls that belong to the limit before, and are not counted.
+  int to_skip_ = 0;
+  /// Finished calls of the present window, those that saw a full target, and its begin.
+  int finished_ = 0;
+  int saturated_ = 0;
+  double latency_sum_ = 0;
+  time_point window_began_{};
+  /// Mean latency in seconds of the best window in which the target was not full; 0 before one. Rises slowly.
+  double uncontended_latency_ = 0;
+  double throughput_at_limit_ = 0;
+  int windows_to_probe_ = 2;
+  int probe_interval_ = 2;
+};
+
 /// Which limit a receiver uses.
-enum class limit_kind : std::uint8_t { fixed, aimd, gradient };
+enum class limit_kind : std::uint8_t { fixed, aimd, gradient, probing };
 
 /// Makes a limit of the given kind that starts at `slots`.
 std::unique_ptr<concurrency_limit> make_concurrency_limit(limit_kind kind, int slots);
--- a/nutmegarch/policy/receiver.h
+++ b/nutmegarch/policy/receiver.h
@@ -22,9 +22,9 @@
   /// Calls that the target runs at once, as published.
   int slots = 64;
   /// Calls that may wait, as a share of the slots.
-  double queue_share = 1.0;
+  double queue_share = 0.5;
   /// Waiting calls from which on a queue counts as standing, as a share of the slots.
-  double standing_share = 0.2;
+  double standing_share = 0.1;
   /// A call starts only when it would finish in time with this probability.
   double finish_quantile = 0.9;
   /// Service time that is assumed for a route before its first calls.
@@ -34,7 +34,7 @@
   /// Share of the slots that long calls may hold.
   double long_share = 0.75;
   queue_kind queue = queue_kind::adaptive_lifo;
-  limit_kind limit = limit_kind::aimd;
+  limit_kind limit = limit_kind::probing;
   level_settings level;
 };
 
--- a/performance_test/virtual_time/studies.cpp
+++ b/performance_test/virtual_time/studies.cpp
@@ -47,7 +47,8 @@
 void study_limits(std::uint64_t seed) {
   const std::pair<const char*, policy::limit_kind> kinds[] = {{"fixed", policy::limit_kind::fixed},
                                                               {"aimd", policy::limit_kind::aimd},
-                                                              {"gradient", policy::limit_kind::gradient}};
+                                                              {"gradient", policy::limit_kind::gradient},
+                                                              {"probing", policy::limit_kind::probing}};
   for (const std::pair<const char*, policy::limit_kind>& kind : kinds) {
     deployment_plan plan = base_plan();
     plan.receiver.limit = kind.second;
--- a/unit_tests/policy/receiver_test.cpp
+++ b/unit_tests/policy/receiver_test.cpp
@@ -83,7 +83,8 @@
   receiver_settings settings;
   settings.slots = *rc::gen::inRange(1, 6);
   settings.queue = *rc::gen::element(queue_kind::fifo, queue_kind::deadline, queue_kind::adaptive_lifo);
-  settings.limit = *rc::gen::element(limit_kind::fixed, limit_kind::aimd, limit_kind::gradient);
+  settings.limit =
+      *rc::gen::element(limit_kind::fixed, limit_kind::aimd, limit_kind::gradient, limit_kind::probing);
   const std::vector<std::pair<int, int>> steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
       rc::gen::pair(rc::gen::inRange(0, 9), rc::gen::inRange(1, 200)));
   driven_receiver driven(settings);
