--- a/nutmegarch/membership/endpoint_table.cpp
+++ b/nutmegarch/membership/endpoint_table.cpp
@@ -76,6 +76,18 @@
   return found == by_host_.end() ? nullptr : found->second;
 }
 
+std::string endpoint_table::find_unknown() {
+  auto it = by_host_.upper_bound(last_unknown_);
+  for (std::size_t i = 0; i < by_host_.size(); ++i, ++it) {
+    it = it == by_host_.end() ? by_host_.begin() : it;
+    if (it->second->incarnation == 0) {
+      last_unknown_ = it->first;
+      return it->second->address;
+    }
+  }
+  return {};
+}
+
 policy::proximity endpoint_table::proximity_to(const published_host& host) const {
   if (host.host == place_.host) {
     return policy::proximity::same_host;
--- a/nutmegarch/membership/endpoint_table.h
+++ b/nutmegarch/membership/endpoint_table.h
@@ -42,11 +42,16 @@
 
   policy::endpoint_ptr find(const std::string& host) const;
 
+  /// Address of an endpoint whose incarnation is not known yet, each in its turn; empty when there is none.
+  std::string find_unknown();
+
  private:
   policy::proximity proximity_to(const published_host& host) const;
 
   own_place place_;
   std::map<std::string, policy::endpoint_ptr> by_host_;
+  /// Host after which find_unknown() goes on.
+  std::string last_unknown_;
 };
 
 }  // namespace nutmegarch::membership
--- a/nutmegarch/node/control_path.cpp
+++ b/nutmegarch/node/control_path.cpp
@@ -17,8 +17,8 @@
 constexpr const char* hosts_prefix = "hosts/";
 /// Wait after a read that failed, doubled by chance.
 constexpr duration retry_delay = std::chrono::seconds(1);
-/// Peers that a node asks when it starts or wakes up late.
-constexpr int peers_to_ask = 3;
+/// Time between two exchanges with peers whose incarnation is not known yet.
+constexpr duration greeting_interval = std::chrono::milliseconds(40);
 
 std::string list_rules(const std::vector<rules::rule>& rules) {
   std::string text;
@@ -55,6 +55,13 @@
     const std::lock_guard<std::mutex> lock(state_.mutex);
     const time_point now = state_.clock.now();
     due = state_.gossip.due(now);
+    if (now >= next_greeting_) {
+      const std::string stranger = state_.endpoints.find_unknown();
+      if (!stranger.empty()) {
+        due.push_back(stranger);
+      }
+      next_greeting_ = now + greeting_interval;
+    }
     should_read = state_.gossip.should_read(now);
     reads_for_all = is_reader_;
   }
@@ -270,6 +277,7 @@
   }
   const std::string service = key.substr(std::string(hosts_prefix).size());
   state_.sender.set_endpoints(service, state_.endpoints.apply(service, list, *state_.rules.table()));
+  state_.endpoints.on_report({state_.settings.identity.host, state_.incarnation, state_.leaving});
   update_peers();
   if (service == state_.settings.identity.service) {
     const std::vector<std::string> readers = membership::choose_readers(
--- a/nutmegarch/node/control_path.h
+++ b/nutmegarch/node/control_path.h
@@ -57,6 +57,7 @@
   std::set<std::string> watched_;
   /// This node watches the configuration service for its service.
   bool is_reader_ = false;
+  time_point next_greeting_{};
 };
 
 /// Key of the rule file in the configuration service.
--- a/nutmegarch/node/outbound_path.cpp
+++ b/nutmegarch/node/outbound_path.cpp
@@ -40,16 +40,18 @@
 
 void outbound_path::on_request(std::uint64_t exchange, request_message request, reply answer) {
   ++begun_;
-  const std::shared_ptr<const request_message> shared =
-      std::make_shared<const request_message>(std::move(request));
-  built_call built;
+  pending_call pending;
+  pending.key = exchange;
+  pending.request = std::make_shared<const request_message>(std::move(request));
+  pending.answer = std::move(answer);
+  built_call& built = pending.built;
   bool needs_ticket = false;
   {
     const std::lock_guard<std::mutex> lock(state_.mutex);
     const time_point now = state_.clock.now();
-    const std::optional<request_id> named = request_id_of(shared->fields);
+    const std::optional<request_id> named = request_id_of(pending.request->fields);
     const std::optional<parent_call> parent = named ? local_->find_parent(*named) : std::nullopt;
-    built = build_call(state_, *shared, parent, now);
+    built = build_call(state_, *pending.request, parent, now);
     if (parent) {
       local_->note_child(*named, built.context.service, built.context.route);
     }
@@ -57,15 +59,15 @@
     // An order of the target gets the ticket that belongs to the order that it runs.
     needs_ticket = built.is_order && !built.context.ticket && !state_.settings.pass_through;
     if (needs_ticket && parent && parent->context.ticket) {
-      built.context.ticket =
-          state_.orders.child_ticket(*parent->context.ticket, child_key(built, *shared), std::nullopt, now);
+      built.context.ticket = state_.orders.child_ticket(
+          *parent->context.ticket, child_key(built, *pending.request), std::nullopt, now);
       needs_ticket = !built.context.ticket;
     }
   }
   if (needs_ticket) {
-    fetch_ticket(exchange, std::move(built), shared, std::move(answer));
+    fetch_ticket(std::move(pending));
   } else {
-    start_call(exchange, std::move(built), shared, std::move(answer));
+    start_call(std::move(pending));
   }
 }
 
@@ -101,92 +103,90 @@
   return calls_.empty();
 }
 
-void outbound_path::start_call(std::uint64_t key, built_call built,
-                               std::shared_ptr<const request_message> request, reply answer) {
+void outbound_path::start_call(pending_call pending) {
   policy::sender_actions actions;
   {
     const std::lock_guard<std::mutex> lock(state_.mutex);
     const policy::outbound_call_ptr call(new policy::outbound_call());
-    call->key = key;
-    call->deadline = built.deadline;
-    call->size = request->body.size() + head_bytes;
-    call->may_hedge = built.may_hedge;
-    if (built.parent) {
-      call->ledger = built.parent->ledger;
-    } else if (built.retry_budget) {
-      call->ledger = policy::retry_ledger_ptr(new policy::retry_ledger(*built.retry_budget));
+    call->key = pending.key;
+    call->deadline = pending.built.deadline;
+    call->size = pending.request->body.size() + head_bytes;
+    call->may_hedge = pending.built.may_hedge;
+    if (pending.built.parent) {
+      call->ledger = pending.built.parent->ledger;
+    } else if (pending.built.retry_budget) {
+      call->ledger = policy::retry_ledger_ptr(new policy::retry_ledger(*pending.built.retry_budget));
     }
-    call->context = std::move(built.context);
+    call->context = std::move(pending.built.context);
     entry made;
     made.call = call;
-    made.request = std::move(request);
-    made.answer = std::move(answer);
-    calls_.emplace(key, std::move(made));
+    made.request = std::move(pending.request);
+    made.answer = std::move(pending.answer);
+    calls_.emplace(pending.key, std::move(made));
     state_.sender.start(call, state_.clock.now(), actions);
   }
   run(actions);
 }
 
-void outbound_path::fetch_ticket(std::uint64_t key, built_call built,
-                                 std::shared_ptr<const request_message> request, reply answer) {
+void outbound_path::fetch_ticket(pending_call pending) {
   policy::endpoint_ptr home;
-  duration patience{};
+  protocol::peer_call question;
+  question.context = pending.built.context;
+  question.stamp = state_.stamps.next();
   {
     const std::lock_guard<std::mutex> lock(state_.mutex);
     const time_point now = state_.clock.now();
-    home = state_.sender.choose_ticket_home(built.context, now);
-    patience = built.deadline - now;
+    home = state_.sender.choose_ticket_home(pending.built.context, now);
+    question.context.remaining = pending.built.deadline - now;
   }
   if (!home) {
-    answer(http::make_problem(call_outcome::not_run, call_reason::no_target, ""));
+    pending.answer(http::make_problem(call_outcome::not_run, call_reason::no_target, ""));
     return;
   }
-  protocol::peer_call question;
-  question.context = built.context;
-  question.context.remaining = patience;
-  question.stamp = state_.stamps.next();
   if (home->distance == policy::proximity::same_host) {
-    on_ticket(key, std::move(built), std::move(request), std::move(answer), local_->issue_ticket(question));
+    on_ticket(std::move(pending), home->host, local_->issue_ticket(question));
     return;
   }
   peers_.request_ticket(
       home->address, std::move(question),
-      [self = shared_from_this(), key, built = std::move(built), request = std::move(request),
-       answer = std::move(answer)](const result<protocol::peer_answer, protocol::peer_error>& outcome) {
-        protocol::peer_answer content;
-        if (succeeded(outcome)) {
-          content = std::get<protocol::peer_answer>(outcome);
-        }
-        self->on_ticket(key, built, request, answer, content);
+      [self = shared_from_this(), pending = std::move(pending),
+       host = home->host](const result<protocol::peer_answer, protocol::peer_error>& outcome) {
+        const bool is_answered = succeeded(outcome);
+        self->on_ticket(pending, host,
+                        is_answered ? std::get<protocol::peer_answer>(outcome) : protocol::peer_answer{});
       });
 }
 
-void outbound_path::on_ticket(std::uint64_t key, built_call built,
-                              std::shared_ptr<const request_message> request, reply answer,
+void outbound_path::on_ticket(pending_call pending, const std::string& home,
                               const protocol::peer_answer& content) {
   if (!content.ticket) {
     // Nothing has run: the order itself has not left this node.
     const call_reason reason = content.reason == call_reason::none ? call_reason::no_target : content.reason;
-    answer(http::make_problem(call_outcome::not_run, reason, ""));
+    pending.answer(http::make_problem(call_outcome::not_run, reason, ""));
     return;
   }
 
-  // The order of a target goes on by itself; an outside caller keeps its ticket and asks again.
-  if (built.parent && built.parent->context.ticket) {
-    {
-      const std::lock_guard<std::mutex> lock(state_.mutex);
-      built.context.ticket = state_.orders.child_ticket(
-          *built.parent->context.ticket, child_key(built, *request), content.ticket, state_.clock.now());
-    }
-    if (built.context.ticket) {
-      start_call(key, std::move(built), std::move(request), std::move(answer));
-      return;
+  bool goes_on = false;
+  {
+    // The copy with the ticket goes to this incarnation.
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    state_.endpoints.on_report({home, content.report.incarnation, content.report.leaving});
+    // The order of a target goes on by itself; an outside caller keeps its ticket and asks again.
+    if (pending.built.parent && pending.built.parent->context.ticket) {
+      pending.built.context.ticket = state_.orders.child_ticket(*pending.built.parent->context.ticket,
+                                                                child_key(pending.built, *pending.request),
+                                                                content.ticket, state_.clock.now());
+      goes_on = pending.built.context.ticket.has_value();
     }
   }
+  if (goes_on) {
+    start_call(std::move(pending));
+    return;
+  }
   answer_message problem = http::make_problem(call_outcome::not_run, call_reason::ticket_required, "");
   set_header(problem.fields, header_names::ticket, policy::to_text(*content.ticket));
   set_header(problem.fields, header_names::outcome, name_of(call_outcome::not_run));
-  answer(std::move(problem));
+  pending.answer(std::move(problem));
 }
 
 void outbound_path::run(const policy::sender_actions& actions) {
--- a/nutmegarch/node/outbound_path.h
+++ b/nutmegarch/node/outbound_path.h
@@ -49,12 +49,18 @@
     std::string last_rule;
   };
 
-  void start_call(std::uint64_t key, built_call built, std::shared_ptr<const request_message> request,
-                  reply answer);
-  void fetch_ticket(std::uint64_t key, built_call built, std::shared_ptr<const request_message> request,
-                    reply answer);
-  void on_ticket(std::uint64_t key, built_call built, std::shared_ptr<const request_message> request,
-                 reply answer, const protocol::peer_answer& content);
+  /// A call that is read and not yet started.
+  struct pending_call {
+    std::uint64_t key = 0;
+    built_call built;
+    std::shared_ptr<const request_message> request;
+    reply answer;
+  };
+
+  void start_call(pending_call pending);
+  void fetch_ticket(pending_call pending);
+  /// `home` is the host that was asked for the ticket.
+  void on_ticket(pending_call pending, const std::string& home, const protocol::peer_answer& content);
   void run(const policy::sender_actions& actions);
   void send(const policy::sender_action& action);
   void abandon(const policy::sender_action& action);
--- a/nutmegarch/policy/sender.cpp
+++ b/nutmegarch/policy/sender.cpp
@@ -282,6 +282,12 @@
       return {known.get(), call_reason::none};
     }
   }
+  // It may be one that has not spoken yet. Any other node refuses a ticket that is not its own.
+  for (const endpoint_ptr& known : service.endpoints) {
+    if (known->incarnation == 0 && !was_tried(call, *known)) {
+      return {known.get(), call_reason::none};
+    }
+  }
   return {nullptr, call_reason::ticket_foreign};
 }
 
