A page with plots for a load; room for orders beyond that of others

Cause: in the demo on 8 slots 6 of 805 orders failed: their calls to the stockyard met a queue of 4 that other orders had filled, and the retry bucket had gone to important calls.

--- a/nutmegarch/command/load_command.cpp
+++ b/nutmegarch/command/load_command.cpp
@@ -4,7 +4,10 @@
 
 #include "nutmegarch/command/command_line.h"
 #include "nutmegarch/command/commands.h"
+#include "nutmegarch/command/merged_timeline.h"
 #include "nutmegarch/load/load_generator.h"
+#include "nutmegarch/load/load_report.h"
+#include "nutmegarch/observe/hybrid_clock.h"
 
 namespace nutmegarch::command {
 
@@ -21,6 +24,56 @@
             << std::flush;
 }
 
+/// What a report is made of, besides the run itself.
+struct report_options {
+  std::string folder;
+  std::vector<std::string> nodes;
+  std::string beside;
+};
+
+/// Kinds of events that change the course of a run; those of single calls would hide them.
+bool is_of_fleet(const std::string& kind) {
+  return kind.compare(0, 5, "call-") != 0 && kind != "ticket-issued";
+}
+
+std::vector<load::report_event> events_of(const load::load_result& found,
+                                          const std::vector<std::string>& nodes) {
+  std::vector<load::report_event> events;
+  for (const merged_event& event : fetch_timeline({nodes, 0, "", ""}).events) {
+    const std::int64_t at = std::chrono::duration_cast<std::chrono::milliseconds>(
+                                observe::hybrid_clock::time_of(event.stamp).time_since_epoch())
+                                .count();
+    if (is_of_fleet(event.kind)) {
+      events.push_back({static_cast<double>(at - found.began_unix_ms) / 1000, event.host,
+                        event.kind + ' ' + event.subject + ' ' + event.detail});
+    }
+  }
+  return events;
+}
+
+/// Writes index.html and the run's JSON into the folder, which must exist.
+int write_report(const load::load_result& found, const report_options& options) {
+  std::vector<load::report_run> runs = {{"This run", found, events_of(found, options.nodes)}};
+  if (!options.beside.empty()) {
+    const std::optional<std::string> text = read_file(options.beside);
+    const std::optional<load::load_result> other = text ? load::from_json(*text) : std::nullopt;
+    if (!other) {
+      std::cerr << options.beside << ": no result of a load\n";
+      return bad_usage;
+    }
+    runs.push_back({options.beside, *other, {}});
+  }
+  std::ofstream page(options.folder + "/index.html");
+  std::ofstream result(options.folder + "/load.json");
+  page << load::to_html(runs);
+  result << load::to_json(found) << '\n';
+  if (!page || !result) {
+    std::cerr << options.folder << ": can't be written\n";
+    return failed;
+  }
+  return done;
+}
+
 }  // namespace
 
 int run_load(const std::vector<std::string>& words) {
@@ -28,6 +81,12 @@
   TCLAP::ValueArg<std::string> file("", "settings", "Settings file, JSON with comments.", true, "", "FILE",
                                     line);
   TCLAP::SwitchArg json("", "json", "Prints JSON instead of a table.", line);
+  TCLAP::ValueArg<std::string> report("", "report", "Folder for a page with plots.", false, "", "FOLDER",
+                                      line);
+  TCLAP::MultiArg<std::string> nodes("", "node", "Administration address whose events the page shows.", false,
+                                     "ADDRESS", line);
+  TCLAP::ValueArg<std::string> beside("", "beside", "JSON of an earlier run, shown beside this one.", false,
+                                      "", "FILE", line);
   const std::optional<int> ended = parse(line, "load", words);
   if (ended) {
     return *ended;
@@ -53,7 +112,9 @@
     std::cerr << '\n';
   }
   std::cout << (json.getValue() ? load::to_json(found) + '\n' : load::to_table(found));
-  return done;
+  return report.getValue().empty()
+             ? static_cast<int>(done)
+             : write_report(found, {report.getValue(), nodes.getValue(), beside.getValue()});
 }
 
 }  // namespace nutmegarch::command
--- a/nutmegarch/node/node_settings.cpp
+++ b/nutmegarch/node/node_settings.cpp
@@ -52,6 +52,7 @@
                                           {"deadline", policy::queue_kind::deadline},
                                           {"adaptive_lifo", policy::queue_kind::adaptive_lifo}});
   reader.read_number("/admission/queue_share", to.queue_share, 0.01, 100);
+  reader.read_number("/admission/order_queue_share", to.order_queue_share, 0, 100);
   reader.read_number("/admission/standing_share", to.standing_share, 0.01, 100);
   reader.read_number("/admission/finish_quantile", to.finish_quantile, 0.01, 0.999);
   reader.read_number("/admission/long_factor", to.long_factor, 1, 1'000);
--- a/nutmegarch/policy/receiver.cpp
+++ b/nutmegarch/policy/receiver.cpp
@@ -10,6 +10,10 @@
 
 /// Most routes whose service times are kept; further routes use the times of all calls.
 constexpr std::size_t most_routes = 1024;
+/// Room to wait, and size of a standing queue, at targets with few slots: there a short queue comes by
+/// chance.
+constexpr int least_capacity = 4;
+constexpr int least_standing = 3;
 
 void refuse(const inbound_call_ptr& call, call_reason reason, receiver_actions& actions) {
   call->phase = inbound_phase::done;
@@ -157,7 +161,8 @@
     evicted = long_queue_->evict_below(position);
   }
   if (!evicted) {
-    return false;
+    // Orders alone fill the queue: they may wait longer, as far as their deadlines allow.
+    return call.context.cls == call_class::order && waiting() < order_capacity();
   }
   refuse(evicted, call_reason::queue_full, actions);
   return true;
@@ -205,11 +210,15 @@
 }
 
 int receiver::queue_capacity() const {
-  return std::max(1, static_cast<int>(settings_.queue_share * settings_.slots));
+  return std::max(least_capacity, static_cast<int>(settings_.queue_share * settings_.slots));
+}
+
+int receiver::order_capacity() const {
+  return std::max(queue_capacity(), static_cast<int>(settings_.order_queue_share * settings_.slots));
 }
 
 int receiver::standing_size() const {
-  return std::max(1, static_cast<int>(settings_.standing_share * settings_.slots));
+  return std::max(least_standing, static_cast<int>(settings_.standing_share * settings_.slots));
 }
 
 void receiver::note_waiting() { levels_.on_waiting(waiting(), standing_size()); }
--- a/nutmegarch/policy/receiver.h
+++ b/nutmegarch/policy/receiver.h
@@ -23,6 +23,8 @@
   int slots = 64;
   /// Calls that may wait, as a share of the slots.
   double queue_share = 0.5;
+  /// Calls that may wait when only orders do, as a share of the slots.
+  double order_queue_share = 2.0;
   /// Waiting calls from which on a queue counts as standing, as a share of the slots.
   double standing_share = 0.1;
   /// A call starts only when it would finish in time with this probability.
@@ -102,6 +104,7 @@
   wait_queue* next_queue();
   bool may_start_long() const;
   int queue_capacity() const;
+  int order_capacity() const;
   int standing_size() const;
   void note_waiting();
 
--- a/nutmegarch/policy/retry_budget.h
+++ b/nutmegarch/policy/retry_budget.h
@@ -6,7 +6,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
-#include "nutmegarch/core/time.h"
+#include "nutmegarch/core/call.h"
 
 namespace nutmegarch::policy {
 
@@ -51,6 +51,8 @@
   double per_success = 0.1;
   /// Most tokens held, and tokens at the start.
   double capacity = 20;
+  /// Share of the capacity that only orders may use.
+  double kept_for_orders = 0.25;
 };
 
 /// Keeps extra attempts towards one destination to a share of its successes.
@@ -60,12 +62,15 @@
 
   void on_success() { tokens_ = std::min(settings_.capacity, tokens_ + settings_.per_success); }
 
-  /// True when a whole token is there.
-  bool has_token() const { return tokens_ >= 1; }
+  /// True when a whole token is there, over what is kept for orders.
+  bool has_token(call_class cls) const {
+    const double kept = cls == call_class::order ? 0 : settings_.kept_for_orders * settings_.capacity;
+    return tokens_ >= 1 + kept;
+  }
 
-  /// Pays for one extra attempt; false when less than a token is there.
-  bool withdraw() {
-    if (!has_token()) {
+  /// Pays for one extra attempt; false when there is no token for it.
+  bool withdraw(call_class cls) {
+    if (!has_token(cls)) {
       return false;
     }
     tokens_ -= 1;
--- a/nutmegarch/policy/sender.cpp
+++ b/nutmegarch/policy/sender.cpp
@@ -363,12 +363,13 @@
   }
   service_state& service = state_of(call->context.service);
   const selection selected = select(service, *call, now);
-  const bool paid = selected.chosen != nullptr && service.retries.has_token() && call->ledger->withdraw();
+  const bool paid =
+      selected.chosen != nullptr && service.retries.has_token(call->context.cls) && call->ledger->withdraw();
   if (!paid) {
     complete(call, known, call->last_refusal, 0, now, actions);
     return;
   }
-  service.retries.withdraw();
+  service.retries.withdraw(call->context.cls);
   send(call, *selected.chosen, call->context.repeated || call->may_have_run, false, now, actions);
 }
 
@@ -417,7 +418,7 @@
 void sender::hedge(const outbound_call_ptr& call, time_point now, sender_actions& actions) {
   service_state& service = state_of(call->context.service);
   const bool first_only = call->attempts.size() == 1 && call->attempts.front().open;
-  if (!first_only || call->hedged || call->context.repeated || !service.hedges.has_token()) {
+  if (!first_only || call->hedged || call->context.repeated || !service.hedges.has_token(call->context.cls)) {
     return;
   }
   const selection selected = select(service, *call, now);
@@ -427,7 +428,7 @@
   if (!call->ledger->withdraw()) {
     return;
   }
-  service.hedges.withdraw();
+  service.hedges.withdraw(call->context.cls);
   call->hedged = true;
   send(call, *selected.chosen, true, true, now, actions);
 }
--- a/unit_tests/policy/receiver_test.cpp
+++ b/unit_tests/policy/receiver_test.cpp
@@ -128,6 +128,22 @@
   }
 }
 
+// Found in the demo: on 8 slots a handful of orders at one moment filled the queue and turned others away.
+BOOST_AUTO_TEST_CASE(orders_may_wait_beyond_the_room_of_others) {
+  receiver_settings settings;
+  settings.slots = 8;
+  receiver tested(settings);
+  receiver_actions actions;
+  for (std::uint64_t key = 1; key <= 24; ++key) {
+    tested.offer(make_call(key, call_class::order, begin, std::chrono::seconds(60)), begin, actions);
+  }
+  BOOST_TEST(tested.running() == 8);
+  BOOST_TEST(tested.waiting() == 16);
+  const inbound_call_ptr browse = make_call(30, call_class::browse, begin, std::chrono::seconds(60));
+  tested.offer(browse, begin, actions);
+  BOOST_TEST((browse->phase == inbound_phase::done));
+}
+
 BOOST_AUTO_TEST_CASE(a_level_sheds_browsing_before_important_before_orders) {
   level_controller levels{level_settings{}};
   time_point now = begin;
--- a/unit_tests/policy/retry_test.cpp
+++ b/unit_tests/policy/retry_test.cpp
@@ -169,14 +169,18 @@
 }
 
 BOOST_AUTO_TEST_CASE(the_bucket_refills_by_successes_only) {
-  retry_bucket bucket({0.5, 2});
-  BOOST_TEST(bucket.withdraw());
-  BOOST_TEST(bucket.withdraw());
-  BOOST_TEST(!bucket.withdraw());
+  retry_bucket bucket({0.5, 4, 0.25});
+  BOOST_TEST(bucket.withdraw(call_class::browse));
+  BOOST_TEST(bucket.withdraw(call_class::browse));
+  BOOST_TEST(bucket.withdraw(call_class::browse));
+  // The last one is kept for orders.
+  BOOST_TEST(!bucket.withdraw(call_class::browse));
+  BOOST_TEST(bucket.withdraw(call_class::order));
+  BOOST_TEST(!bucket.withdraw(call_class::order));
   bucket.on_success();
-  BOOST_TEST(!bucket.withdraw());
+  BOOST_TEST(!bucket.withdraw(call_class::order));
   bucket.on_success();
-  BOOST_TEST(bucket.withdraw());
+  BOOST_TEST(bucket.withdraw(call_class::order));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
