--- a/nutmegarch/node/control_path.cpp
+++ b/nutmegarch/node/control_path.cpp
@@ -66,7 +66,7 @@
     reads_for_all = is_reader_;
   }
   for (const std::string& address : due) {
-    exchange_with(address, false);
+    exchange_with(address, {});
   }
   if (should_read) {
     state_.events.add(observe::event_kind::configuration_silent, {}, "", "reads by itself");
@@ -108,7 +108,7 @@
     all = state_.gossip.peers();
   }
   for (const std::string& address : all) {
-    exchange_with(address, false);
+    exchange_with(address, {});
   }
 }
 
@@ -120,7 +120,7 @@
     watched_.clear();
   }
   for (const std::string& address : asked) {
-    exchange_with(address, false);
+    exchange_with(address, {});
   }
   read(rules_key);
 }
@@ -132,7 +132,7 @@
     chosen = state_.gossip.pick_for_news();
   }
   for (const std::string& address : chosen) {
-    exchange_with(address, true);
+    exchange_with(address, {});
   }
 }
 
@@ -305,38 +305,37 @@
   state_.gossip.set_peers({addresses.begin(), addresses.end()});
 }
 
-void control_path::exchange_with(const std::string& address, bool with_documents) {
+void control_path::exchange_with(const std::string& address, std::vector<membership::document> documents) {
   protocol::peer_exchange offer = make_offer();
-  if (with_documents) {
-    const std::lock_guard<std::mutex> lock(state_.mutex);
-    const membership::document* const held = state_.documents.find(rules_key);
-    if (held != nullptr) {
-      offer.documents.push_back(*held);
-    }
-  }
+  const bool had_documents = !documents.empty();
+  offer.documents = std::move(documents);
   state_.counts.add("exchanges");
   peers_.exchange(address, std::move(offer),
-                  [self = shared_from_this(),
-                   address](const result<protocol::peer_exchange, protocol::peer_error>& outcome) {
+                  [self = shared_from_this(), address,
+                   had_documents](const result<protocol::peer_exchange, protocol::peer_error>& outcome) {
                     if (succeeded(outcome)) {
-                      self->on_reply(address, std::get<protocol::peer_exchange>(outcome));
+                      self->on_reply(address, std::get<protocol::peer_exchange>(outcome), had_documents);
                     }
                   });
 }
 
-void control_path::on_reply(const std::string& address, const protocol::peer_exchange& reply) {
+void control_path::on_reply(const std::string& address, const protocol::peer_exchange& reply,
+                            bool had_documents) {
   const bool is_news = merge(reply);
-  bool peer_lacks_something = false;
+  std::vector<membership::document> lacking;
   {
     const std::lock_guard<std::mutex> lock(state_.mutex);
-    peer_lacks_something = !state_.documents.newer_than(reply.digest).empty();
+    lacking = state_.documents.newer_than(reply.digest);
     state_.revalidating_until = time_point{};
   }
   if (is_news) {
     boost::asio::post(workers_, [self = shared_from_this()]() { self->spread_news(); });
-  } else if (peer_lacks_something) {
-    boost::asio::post(workers_,
-                      [self = shared_from_this(), address]() { self->exchange_with(address, true); });
+  }
+  // A peer that did not take what it was sent has its reasons, and is not sent it again at once.
+  if (!lacking.empty() && !had_documents) {
+    boost::asio::post(workers_, [self = shared_from_this(), address, lacking = std::move(lacking)]() {
+      self->exchange_with(address, lacking);
+    });
   }
 }
 
--- a/tools/lib/capacity.py
+++ b/tools/lib/capacity.py
@@ -66,8 +66,8 @@
 
 def main():
     for index, size in enumerate(SIZES):
-        idle(size, 33000 + 1000 * index)
-    data_path(38000)
+        idle(size, 11000 + 1000 * index)
+    data_path(16000)
 
 
 if __name__ == "__main__":
--- a/unit_tests/http/http_test.cpp
+++ b/unit_tests/http/http_test.cpp
@@ -9,6 +9,8 @@
 #include "nutmegarch/http/client_pool.h"
 #include "nutmegarch/http/server.h"
 
+#include "unit_tests/loopback.h"
+
 namespace nutmegarch::http {
 
 namespace {
@@ -144,12 +146,7 @@
 BOOST_AUTO_TEST_CASE(a_silent_target_and_an_absent_one_are_told_apart) {
   const raw_peer silent("", false);
   BOOST_TEST((error_of(get(silent.address(), std::chrono::milliseconds(50))) == client_error::timed_out));
-  tcp::endpoint absent;
-  {
-    boost::asio::io_context context;
-    tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-    absent = acceptor.local_endpoint();
-  }
+  const tcp::endpoint absent = *parse_address(free_address());
   BOOST_TEST((error_of(get(absent, patience)) == client_error::unreachable));
 }
 
--- a/unit_tests/node/node_test.cpp
+++ b/unit_tests/node/node_test.cpp
@@ -14,6 +14,8 @@
 #include "nutmegarch/http/address.h"
 #include "nutmegarch/node/header_names.h"
 
+#include "unit_tests/loopback.h"
+
 namespace nutmegarch::node {
 
 namespace {
@@ -22,13 +24,6 @@
 constexpr std::chrono::seconds patience{30};
 constexpr const char* signature = " # who: a why: b\n";
 
-std::string free_address() {
-  boost::asio::io_context context;
-  const boost::asio::ip::tcp::acceptor acceptor(
-      context, boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 bool wait_for(const std::function<bool()>& condition) {
   const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + patience;
   while (std::chrono::steady_clock::now() < end) {
--- a/unit_tests/protocol/peer_network_test.cpp
+++ b/unit_tests/protocol/peer_network_test.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "unit_tests/loopback.h"
+
 namespace nutmegarch::protocol {
 
 namespace {
@@ -44,14 +46,6 @@
   peer_network& network_;
 };
 
-/// A free port of the loopback address.
-std::string free_address() {
-  boost::asio::io_context context;
-  const boost::asio::ip::tcp::acceptor acceptor(
-      context, boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 struct two_networks {
   peer_network_settings settings;
   std::string address = free_address();
