--- a/nutmegarch/command/load_command.cpp
+++ b/nutmegarch/command/load_command.cpp
@@ -91,23 +91,14 @@
   if (ended) {
     return *ended;
   }
-  const std::optional<std::string> text = read_file(file.getValue());
-  if (!text) {
-    std::cerr << file.getValue() << ": can't be read\n";
-    return bad_usage;
-  }
-  const std::variant<load::load_settings, std::vector<settings::settings_error>> read =
-      load::read_load_settings(*text);
-  if (std::holds_alternative<std::vector<settings::settings_error>>(read)) {
-    for (const settings::settings_error& error : std::get<std::vector<settings::settings_error>>(read)) {
-      std::cerr << settings::to_text(error, file.getValue()) << '\n';
-    }
+  const std::optional<load::load_settings> settings =
+      read_settings(file.getValue(), load::read_load_settings);
+  if (!settings) {
     return bad_usage;
   }
   const bool is_terminal = isatty(STDERR_FILENO) != 0;
-  const load::load_result found =
-      load::run_load(std::get<load::load_settings>(read),
-                     is_terminal ? print_progress : std::function<void(int, const load::load_result&)>());
+  const load::load_result found = load::run_load(
+      *settings, is_terminal ? print_progress : std::function<void(int, const load::load_result&)>());
   if (is_terminal) {
     std::cerr << '\n';
   }
--- a/nutmegarch/command/node_command.cpp
+++ b/nutmegarch/command/node_command.cpp
@@ -58,26 +58,17 @@
   if (ended) {
     return *ended;
   }
-  const std::optional<std::string> text = read_file(file.getValue());
-  if (!text) {
-    std::cerr << file.getValue() << ": can't be read\n";
-    return bad_usage;
-  }
-  const std::variant<node::node_settings, std::vector<settings::settings_error>> read =
-      node::read_node_settings(*text);
-  if (std::holds_alternative<std::vector<settings::settings_error>>(read)) {
-    for (const settings::settings_error& error : std::get<std::vector<settings::settings_error>>(read)) {
-      std::cerr << to_text(error, file.getValue()) << '\n';
-    }
+  const std::optional<node::node_settings> settings =
+      read_settings(file.getValue(), node::read_node_settings);
+  if (!settings) {
     return bad_usage;
   }
   if (check.getValue()) {
     std::cout << file.getValue() << ": good\n";
     return done;
   }
-  const node::node_settings& settings = std::get<node::node_settings>(read);
-  observe::configure_log(settings.log);
-  return serve(settings);
+  observe::configure_log(settings->log);
+  return serve(*settings);
 }
 
 }  // namespace nutmegarch::command
--- a/nutmegarch/node/inbound_path.cpp
+++ b/nutmegarch/node/inbound_path.cpp
@@ -5,7 +5,7 @@
 
 #include "nutmegarch/core/hash.h"
 #include "nutmegarch/http/address.h"
-#include "nutmegarch/node/header_names.h"
+#include "nutmegarch/node/target_message.h"
 
 namespace nutmegarch::node {
 
@@ -14,11 +14,6 @@
 /// Key of a request id in look-up tables.
 std::uint64_t id_key(const request_id& id) { return hash_number(id.low, id.high); }
 
-std::string describe(const rules::rule& refused_by) {
-  return refused_by.text + " (line " + std::to_string(refused_by.line) + ", who: " + refused_by.who +
-         ", why: " + refused_by.why + ")";
-}
-
 }  // namespace
 
 inbound_path::inbound_path(node_state& state, boost::asio::io_context& workers)
@@ -99,7 +94,7 @@
 protocol::peer_answer inbound_path::issue_ticket(const protocol::peer_call& call) {
   const std::lock_guard<std::mutex> lock(state_.mutex);
   const time_point now = state_.clock.now();
-  protocol::peer_answer content = refusal(call_outcome::not_run, call_reason::ticket_required);
+  protocol::peer_answer content = make_refusal(call_outcome::not_run, call_reason::ticket_required);
   if (state_.receiver.leaving() || state_.is_revalidating(now)) {
     content.reason = state_.receiver.leaving() ? call_reason::leaving : call_reason::revalidating;
   } else {
@@ -171,7 +166,7 @@
 
   // An order runs only under a ticket of this incarnation.
   if (found.order != nullptr && !context.ticket && !context.idempotent) {
-    return refusal(call_outcome::not_run, call_reason::ticket_required);
+    return make_refusal(call_outcome::not_run, call_reason::ticket_required);
   }
   if (context.ticket) {
     std::optional<protocol::peer_answer> decided = check_ticket(context, answer, made, now);
@@ -185,7 +180,7 @@
     if (context.ticket) {
       state_.orders.seal(*context.ticket, now);
     }
-    return refusal(call_outcome::not_run, reason);
+    return make_refusal(call_outcome::not_run, reason);
   };
   if (state_.is_revalidating(now)) {
     return refuse(call_reason::revalidating);
@@ -228,21 +223,21 @@
       return std::nullopt;
     case policy::order_verdict::kind::answered: {
       if (verdict.answer->body_dropped) {
-        return refusal(call_outcome::unknown, call_reason::registry_full);
+        return make_refusal(call_outcome::unknown, call_reason::registry_full);
       }
-      protocol::peer_answer content = refusal(call_outcome::ok, call_reason::none);
+      protocol::peer_answer content = make_refusal(call_outcome::ok, call_reason::none);
       content.message.status = verdict.answer->status;
       content.message.fields = {{"Content-Type", verdict.answer->content_type}};
       content.message.body = verdict.answer->body;
       return content;
     }
     case policy::order_verdict::kind::sealed:
-      return refusal(call_outcome::not_run, verdict.reason);
+      return make_refusal(call_outcome::not_run, verdict.reason);
     case policy::order_verdict::kind::unknown:
     case policy::order_verdict::kind::not_ours:
       break;
   }
-  return refusal(call_outcome::unknown, verdict.reason);
+  return make_refusal(call_outcome::unknown, verdict.reason);
 }
 
 void inbound_path::take(const policy::receiver_actions& actions, work& todo) {
@@ -257,7 +252,7 @@
     }
     state_.events.add(observe::event_kind::call_shed, action.call->context.id, action.call->context.route,
                       name_of(action.reason));
-    end(action.call->key, refusal(call_outcome::not_run, action.reason), todo);
+    end(action.call->key, make_refusal(call_outcome::not_run, action.reason), todo);
   }
 }
 
@@ -315,7 +310,7 @@
       return;
     }
     const time_point now = state_.clock.now();
-    request = to_target(found->second, now);
+    request = to_target(*found->second.request, *call, now);
     patience = call->deadline == never ? state_.settings.calls.longest_timeout : call->deadline - now;
     state_.events.add(observe::event_kind::call_started, call->context.id, call->context.route, "");
   }
@@ -349,8 +344,9 @@
       return;
     }
     const time_point now = state_.clock.now();
-    policy::target_result target = policy::target_result::answered;
-    protocol::peer_answer content = interpret(found->second, outcome, target);
+    target_answer answered =
+        interpret(std::move(outcome), found->second.call->context.idempotent, found->second.is_cancelled);
+    protocol::peer_answer& content = answered.content;
     settle_order(found->second, content, now);
 
     // A connection that ends in the middle of a call may mean that the call has crashed the target.
@@ -367,45 +363,13 @@
     state_.events.add(observe::event_kind::call_answered, context.id, context.route,
                       name_of(content.outcome));
     policy::receiver_actions actions;
-    state_.receiver.finish(found->second.call, target, now, actions);
+    state_.receiver.finish(found->second.call, answered.result, now, actions);
     end(key, std::move(content), todo);
     take(actions, todo);
   }
   run(todo);
 }
 
-protocol::peer_answer inbound_path::interpret(const entry& ended,
-                                              result<answer_message, http::client_error>& outcome,
-                                              policy::target_result& target) const {
-  if (succeeded(outcome)) {
-    protocol::peer_answer content;
-    content.message = std::get<answer_message>(std::move(outcome));
-    const int status = content.message.status;
-    content.outcome = status < 500 ? call_outcome::ok : call_outcome::failed;
-    content.reason = status < 500 ? call_reason::none : call_reason::target_error;
-    if (status == 503) {
-      // The target sheds. It has seen the call, so it can't count as not run.
-      target = policy::target_result::refused;
-      content.outcome = ended.call->context.idempotent ? call_outcome::unknown : call_outcome::failed;
-    }
-    return content;
-  }
-  target = policy::target_result::lost;
-  switch (std::get<http::client_error>(outcome)) {
-    case http::client_error::unreachable:
-      return refusal(call_outcome::not_run, call_reason::no_target);
-    case http::client_error::lost:
-      return refusal(call_outcome::unknown, call_reason::connection_lost);
-    case http::client_error::timed_out:
-      return refusal(call_outcome::unknown,
-                     ended.is_cancelled ? call_reason::cancelled : call_reason::deadline);
-    case http::client_error::too_large:
-    case http::client_error::malformed:
-      break;
-  }
-  return refusal(call_outcome::unknown, call_reason::target_error);
-}
-
 void inbound_path::settle_order(const entry& ended, const protocol::peer_answer& content, time_point now) {
   if (!ended.call->context.ticket) {
     return;
@@ -430,13 +394,6 @@
   }
 }
 
-protocol::peer_answer inbound_path::refusal(call_outcome outcome, call_reason reason) const {
-  protocol::peer_answer content;
-  content.outcome = outcome;
-  content.reason = reason;
-  return content;
-}
-
 void inbound_path::fill_report(protocol::peer_answer& content, const std::string& route) const {
   const time_point now = state_.clock.now();
   content.report = {state_.receiver.load(), state_.receiver.level(), state_.receiver.leaving(),
@@ -445,21 +402,6 @@
   content.calls_on = !state_.settings.identity.calls.empty();
 }
 
-request_message inbound_path::to_target(const entry& started, time_point now) const {
-  request_message request = *started.request;
-  const call_context& context = started.call->context;
-  set_header(request.fields, header_names::traceparent,
-             "00-" + observe::to_text(context.id) + "-" +
-                 observe::to_text({0, hash_number(started.call->key)}).substr(16) + "-01");
-  if (started.call->deadline != never) {
-    const duration remaining = std::max(duration{}, started.call->deadline - now);
-    set_header(
-        request.fields, header_names::timeout,
-        std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count()) + "ms");
-  }
-  return request;
-}
-
 int inbound_path::live_targets() const {
   const std::vector<policy::endpoint_ptr>* const endpoints =
       state_.sender.endpoints(state_.settings.identity.service);
--- a/nutmegarch/node/inbound_path.h
+++ b/nutmegarch/node/inbound_path.h
@@ -90,12 +90,8 @@
   void run(work& todo);
   void start(const policy::inbound_call_ptr& call);
   void on_target_answer(std::uint64_t key, result<answer_message, http::client_error> outcome);
-  protocol::peer_answer interpret(const entry& ended, result<answer_message, http::client_error>& outcome,
-                                  policy::target_result& target) const;
   void settle_order(const entry& ended, const protocol::peer_answer& content, time_point now);
-  protocol::peer_answer refusal(call_outcome outcome, call_reason reason) const;
   void fill_report(protocol::peer_answer& content, const std::string& route) const;
-  request_message to_target(const entry& started, time_point now) const;
   int live_targets() const;
 
   node_state& state_;
--- a/nutmegarch/policy/sender.cpp
+++ b/nutmegarch/policy/sender.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-/// Most routes of one service whose latencies and levels are kept.
-constexpr std::size_t most_routes = 256;
-/// Hedge delay before the first answers.
-constexpr duration assumed_latency = std::chrono::milliseconds(200);
-
 bool was_tried(const outbound_call& call, const endpoint& candidate) {
   return std::any_of(call.attempts.begin(), call.attempts.end(),
                      [&](const attempt& tried) { return tried.to.get() == &candidate; });
@@ -31,35 +26,21 @@
 
 }  // namespace
 
-sender::service_state::service_state(const sender_settings& settings)
-    : choice(make_routing_choice(settings.pass_through ? routing_kind::round_robin : settings.routing,
-                                 settings.score)),
-      retries(settings.retries),
-      hedges(settings.hedges) {}
-
 sender::sender(const sender_settings& settings, random_source& random)
     : settings_(settings), random_(random), link_(settings.link) {}
 
 void sender::set_endpoints(const std::string& service, std::vector<endpoint_ptr> endpoints) {
-  state_of(service).endpoints = std::move(endpoints);
+  state_of(service).set_endpoints(std::move(endpoints));
 }
 
 const std::vector<endpoint_ptr>* sender::endpoints(const std::string& service) const {
   auto found = services_.find(service);
-  return found == services_.end() ? nullptr : &found->second.endpoints;
+  return found == services_.end() ? nullptr : &found->second.endpoints();
 }
 
 void sender::forget_reports() {
   for (std::pair<const std::string, service_state>& entry : services_) {
-    for (std::pair<const std::string, route_state>& route : entry.second.routes) {
-      route.second.level_expires = time_point{};
-    }
-    for (const endpoint_ptr& known : entry.second.endpoints) {
-      known->level_expires = time_point{};
-      known->carried_at = time_point{};
-      known->ejected_until = time_point{};
-      known->consecutive_losses = 0;
-    }
+    entry.second.forget_reports();
   }
 }
 
@@ -93,7 +74,7 @@
     timers_.push({call->deadline, call, true});
   }
   if (call->may_hedge && call->context.idempotent && !settings_.pass_through) {
-    timers_.push({now + hedge_delay(service, call->context.route), call, false});
+    timers_.push({now + service.hedge_delay(call->context.route), call, false});
   }
 }
 
@@ -109,17 +90,12 @@
   // Learn from the answer, also when it comes too late for the caller.
   service_state& service = state_of(call->context.service);
   if (answer.report) {
-    note_report(service, *answered.to, call->context.route, answer, now);
+    service.note_report(*answered.to, call->context.route, answer, now);
   } else {
-    note_loss(service, *answered.to, now);
+    service.note_loss(*answered.to, now);
   }
   if (answer.outcome == call_outcome::ok) {
-    route_state* const route = find_or_add_route(service, call->context.route);
-    if (route != nullptr) {
-      route->latency.add(now - answered.sent);
-    }
-    service.retries.on_success();
-    service.hedges.on_success();
+    service.note_success(call->context.route, now - answered.sent);
   }
   if (call->done) {
     return;
@@ -172,26 +148,10 @@
 
 admission_level sender::level_of(const std::string& service, const std::string& route, time_point now) const {
   auto found = services_.find(service);
-  if (found == services_.end() || found->second.endpoints.empty()) {
-    return level_admits_all;
-  }
-
-  // Of the endpoints, the most generous counts, since a call goes to one that takes it.
-  admission_level best{0};
-  for (const endpoint_ptr& known : found->second.endpoints) {
-    const admission_level level = now < known->level_expires ? known->level : level_admits_all;
-    best.cutoff = std::max(best.cutoff, level.cutoff);
-  }
-
-  // What lies below them counts for all.
-  const route_state* const known_route = find_route(found->second, route);
-  if (known_route != nullptr && now < known_route->level_expires) {
-    best.cutoff = std::min(best.cutoff, known_route->level_below.cutoff);
-  }
-  return best;
+  return found == services_.end() ? level_admits_all : found->second.level_of(route, now);
 }
 
-sender::service_state& sender::state_of(const std::string& service) {
+service_state& sender::state_of(const std::string& service) {
   auto found = services_.find(service);
   if (found == services_.end()) {
     found = services_.emplace(service, service_state(settings_)).first;
@@ -199,25 +159,6 @@
   return found->second;
 }
 
-const sender::route_state* sender::find_route(const service_state& service, const std::string& route) {
-  auto found = service.routes.find(route);
-  return found == service.routes.end() ? nullptr : &found->second;
-}
-
-sender::route_state* sender::find_or_add_route(service_state& service, const std::string& route) {
-  auto found = service.routes.find(route);
-  if (found == service.routes.end() && service.routes.size() < most_routes) {
-    found = service.routes.emplace(route, route_state{}).first;
-  }
-  return found == service.routes.end() ? nullptr : &found->second;
-}
-
-bool sender::is_shed_below(const service_state& service, const outbound_call& call, time_point now) {
-  const route_state* const route = find_route(service, call.context.route);
-  return route != nullptr && now < route->level_expires &&
-         !admits(route->level_below, call.context.cls, call.context.shed_rank);
-}
-
 sender::selection sender::select(service_state& service, const outbound_call& call, time_point now) {
   if (call.context.ticket && !settings_.pass_through) {
     return select_ticket_home(service, call);
@@ -227,24 +168,23 @@
   std::vector<endpoint*> near;
   std::vector<endpoint*> far;
   if (settings_.pass_through) {
-    for (const endpoint_ptr& known : service.endpoints) {
+    for (const endpoint_ptr& known : service.endpoints()) {
       if (!known->published_leaving) {
         near.push_back(known.get());
       }
     }
-    return near.empty() ? selection{}
-                        : selection{service.choice->choose(near, now, random_), call_reason::none};
+    return near.empty() ? selection{} : selection{service.choose(near, now, random_), call_reason::none};
   }
 
   // Shed here what lies below would refuse, before any work or byte is spent on it.
-  if (is_shed_below(service, call, now)) {
+  if (service.is_shed_below(call.context, now)) {
     return {nullptr, call_reason::shed_level};
   }
 
   // Split the usable endpoints by region; remember whether levels alone ruled some out.
   bool shed = false;
   endpoint* last_resort = nullptr;
-  for (const endpoint_ptr& known : service.endpoints) {
+  for (const endpoint_ptr& known : service.endpoints()) {
     if (known->leaving() || was_tried(call, *known)) {
       continue;
     }
@@ -252,17 +192,17 @@
       shed = true;
       continue;
     }
-    if (!is_usable(service, *known, call, now)) {
+    if (!service.is_usable(*known, call.context.route, now)) {
       last_resort = known.get();
       continue;
     }
     (known->distance == proximity::other_region ? far : near).push_back(known.get());
   }
   if (!near.empty()) {
-    return {service.choice->choose(near, now, random_), call_reason::none};
+    return {service.choose(near, now, random_), call_reason::none};
   }
   if (!far.empty()) {
-    endpoint* const chosen = service.choice->choose(far, now, random_);
+    endpoint* const chosen = service.choose(far, now, random_);
     return link_allows(*chosen, call, now) ? selection{chosen, call_reason::none}
                                            : selection{nullptr, call_reason::no_target};
   }
@@ -277,13 +217,13 @@
 }
 
 sender::selection sender::select_ticket_home(const service_state& service, const outbound_call& call) const {
-  for (const endpoint_ptr& known : service.endpoints) {
+  for (const endpoint_ptr& known : service.endpoints()) {
     if (known->incarnation == call.context.ticket->incarnation) {
       return {known.get(), call_reason::none};
     }
   }
   // It may be one that has not spoken yet. Any other node refuses a ticket that is not its own.
-  for (const endpoint_ptr& known : service.endpoints) {
+  for (const endpoint_ptr& known : service.endpoints()) {
     if (known->incarnation == 0 && !was_tried(call, *known)) {
       return {known.get(), call_reason::none};
     }
@@ -296,39 +236,14 @@
          link_.withdraw(static_cast<double>(call.size), call.context.cls, now);
 }
 
-bool sender::is_usable(const service_state& service, const endpoint& candidate, const outbound_call& call,
-                       time_point now) const {
-  return now >= candidate.ejected_until && !is_stalled(service, candidate, call.context.route, now);
-}
-
-bool sender::is_stalled(const service_state& service, const endpoint& candidate, const std::string& route,
-                        time_point now) const {
-  if (candidate.outstanding == 0) {
-    return false;
-  }
-  const duration usual = latency_of(service, route, 0.5);
-  const duration patience =
-      usual + from_seconds(settings_.stall_gaps * seconds(usual) / candidate.outstanding);
-  return now - candidate.awaiting_since > patience;
-}
-
-duration sender::latency_of(const service_state& service, const std::string& route, double q) const {
-  const route_state* const known = find_route(service, route);
-  return known == nullptr ? assumed_latency : known->latency.quantile(q, assumed_latency);
-}
-
-duration sender::hedge_delay(const service_state& service, const std::string& route) const {
-  return std::max(latency_of(service, route, settings_.hedge_quantile), settings_.hedge_least_delay);
-}
-
 void sender::send(const outbound_call_ptr& call, endpoint& to, bool repeated, bool is_hedge, time_point now,
                   sender_actions& actions) {
   // Record the attempt.
   attempt made;
   made.to = &to;
   made.sent = now;
-  const route_state* const route = find_route(state_of(call->context.service), call->context.route);
-  made.tokens_given = route == nullptr || route->calls_on ? call->ledger->take_share() : std::uint16_t{0};
+  const bool calls_on = state_of(call->context.service).calls_on(call->context.route);
+  made.tokens_given = calls_on ? call->ledger->take_share() : std::uint16_t{0};
   made.is_hedge = is_hedge;
   call->attempts.push_back(made);
   if (to.joined == time_point{}) {
@@ -395,9 +310,9 @@
     // An attempt that waits while its endpoint answers nothing at all counts against the endpoint.
     service_state& service = state_of(call->context.service);
     const bool is_silent =
-        open.to->awaiting_since <= open.sent && is_stalled(service, *open.to, call->context.route, now);
+        open.to->awaiting_since <= open.sent && service.is_stalled(*open.to, call->context.route, now);
     if (is_silent) {
-      note_loss(service, *open.to, now);
+      service.note_loss(*open.to, now);
     }
     close(open);
     sender_action action;
@@ -433,50 +348,6 @@
   send(call, *selected.chosen, true, true, now, actions);
 }
 
-void sender::note_report(service_state& service, endpoint& from, const std::string& route,
-                         const attempt_answer& answer, time_point now) {
-  from.awaiting_since = now;
-  from.consecutive_losses = 0;
-  from.ejections = 0;
-  from.ejected_until = time_point{};
-  from.carried_load = answer.report->load;
-  from.carried_at = now;
-  from.level = answer.report->level;
-  from.level_expires = now + settings_.level_lifetime;
-  from.said_leaving = answer.report->leaving;
-  if (answer.report->incarnation != 0) {
-    from.incarnation = answer.report->incarnation;
-  }
-  route_state* const known = find_or_add_route(service, route);
-  if (known != nullptr) {
-    known->level_below = answer.route_level;
-    known->level_expires = now + settings_.level_lifetime;
-    known->calls_on = answer.calls_on;
-  }
-}
-
-void sender::note_loss(service_state& service, endpoint& from, time_point now) {
-  ++from.consecutive_losses;
-  // One that was out is on probation: its next loss takes it out again.
-  const int allowed = from.ejections > 0 ? 1 : settings_.losses_to_eject;
-  if (from.consecutive_losses < allowed || now < from.ejected_until) {
-    return;
-  }
-
-  // Keep enough endpoints in, whatever they look like from here.
-  const std::size_t out = static_cast<std::size_t>(
-      std::count_if(service.endpoints.begin(), service.endpoints.end(),
-                    [&](const endpoint_ptr& known) { return now < known->ejected_until; }));
-  if (static_cast<double>(out + 1) >
-      settings_.most_ejected_share * static_cast<double>(service.endpoints.size())) {
-    return;
-  }
-  const duration length = settings_.ejection * (1U << static_cast<unsigned>(std::min(from.ejections, 5)));
-  from.ejected_until = now + std::min(length, settings_.longest_ejection);
-  ++from.ejections;
-  from.consecutive_losses = 0;
-}
-
 void sender::close(attempt& ended) {
   ended.open = false;
   assert(ended.to->outstanding > 0);
--- /dev/null
+++ b/nutmegarch/policy/service_state.cpp
@@ -0,0 +1,153 @@
+#include "nutmegarch/policy/service_state.h"
+
+#include <algorithm>
+
+namespace nutmegarch::policy {
+
+namespace {
+
+/// Most routes of one service whose latencies and levels are kept.
+constexpr std::size_t most_routes = 256;
+/// Latency of a route before its first answers.
+constexpr duration assumed_latency = std::chrono::milliseconds(200);
+
+}  // namespace
+
+service_state::service_state(const sender_settings& settings)
+    : retries(settings.retries),
+      hedges(settings.hedges),
+      settings_(settings),
+      choice_(make_routing_choice(settings.pass_through ? routing_kind::round_robin : settings.routing,
+                                  settings.score)) {}
+
+bool service_state::is_usable(const endpoint& candidate, const std::string& route, time_point now) const {
+  return now >= candidate.ejected_until && !is_stalled(candidate, route, now);
+}
+
+bool service_state::is_stalled(const endpoint& candidate, const std::string& route, time_point now) const {
+  if (candidate.outstanding == 0) {
+    return false;
+  }
+  const duration usual = latency_of(route, 0.5);
+  const duration patience =
+      usual + from_seconds(settings_.stall_gaps * seconds(usual) / candidate.outstanding);
+  return now - candidate.awaiting_since > patience;
+}
+
+void service_state::note_report(endpoint& from, const std::string& route, const attempt_answer& answer,
+                                time_point now) {
+  from.awaiting_since = now;
+  from.consecutive_losses = 0;
+  from.ejections = 0;
+  from.ejected_until = time_point{};
+  from.carried_load = answer.report->load;
+  from.carried_at = now;
+  from.level = answer.report->level;
+  from.level_expires = now + settings_.level_lifetime;
+  from.said_leaving = answer.report->leaving;
+  if (answer.report->incarnation != 0) {
+    from.incarnation = answer.report->incarnation;
+  }
+  route_state* const known = find_or_add_route(route);
+  if (known != nullptr) {
+    known->level_below = answer.route_level;
+    known->level_expires = now + settings_.level_lifetime;
+    known->calls_on = answer.calls_on;
+  }
+}
+
+void service_state::note_success(const std::string& route, duration latency) {
+  route_state* const known = find_or_add_route(route);
+  if (known != nullptr) {
+    known->latency.add(latency);
+  }
+  retries.on_success();
+  hedges.on_success();
+}
+
+void service_state::note_loss(endpoint& from, time_point now) {
+  ++from.consecutive_losses;
+  // One that was out is on probation: its next loss takes it out again.
+  const int allowed = from.ejections > 0 ? 1 : settings_.losses_to_eject;
+  if (from.consecutive_losses < allowed || now < from.ejected_until) {
+    return;
+  }
+
+  // Keep enough endpoints in, whatever they look like from here.
+  const std::size_t out = static_cast<std::size_t>(
+      std::count_if(endpoints_.begin(), endpoints_.end(),
+                    [&](const endpoint_ptr& known) { return now < known->ejected_until; }));
+  if (static_cast<double>(out + 1) > settings_.most_ejected_share * static_cast<double>(endpoints_.size())) {
+    return;
+  }
+  const duration length = settings_.ejection * (1U << static_cast<unsigned>(std::min(from.ejections, 5)));
+  from.ejected_until = now + std::min(length, settings_.longest_ejection);
+  ++from.ejections;
+  from.consecutive_losses = 0;
+}
+
+void service_state::forget_reports() {
+  for (std::pair<const std::string, route_state>& route : routes_) {
+    route.second.level_expires = time_point{};
+  }
+  for (const endpoint_ptr& known : endpoints_) {
+    known->level_expires = time_point{};
+    known->carried_at = time_point{};
+    known->ejected_until = time_point{};
+    known->consecutive_losses = 0;
+  }
+}
+
+admission_level service_state::level_of(const std::string& route, time_point now) const {
+  if (endpoints_.empty()) {
+    return level_admits_all;
+  }
+  // Of the endpoints, the most generous counts, since a call goes to one that takes it.
+  admission_level best{0};
+  for (const endpoint_ptr& known : endpoints_) {
+    const admission_level level = now < known->level_expires ? known->level : level_admits_all;
+    best.cutoff = std::max(best.cutoff, level.cutoff);
+  }
+
+  // What lies below them counts for all.
+  const route_state* const known_route = find_route(route);
+  if (known_route != nullptr && now < known_route->level_expires) {
+    best.cutoff = std::min(best.cutoff, known_route->level_below.cutoff);
+  }
+  return best;
+}
+
+bool service_state::is_shed_below(const call_context& context, time_point now) const {
+  const route_state* const route = find_route(context.route);
+  return route != nullptr && now < route->level_expires &&
+         !admits(route->level_below, context.cls, context.shed_rank);
+}
+
+bool service_state::calls_on(const std::string& route) const {
+  const route_state* const known = find_route(route);
+  return known == nullptr || known->calls_on;
+}
+
+duration service_state::hedge_delay(const std::string& route) const {
+  return std::max(latency_of(route, settings_.hedge_quantile), settings_.hedge_least_delay);
+}
+
+const service_state::route_state* service_state::find_route(const std::string& route) const {
+  auto found = routes_.find(route);
+  return found == routes_.end() ? nullptr : &found->second;
+}
+
+service_state::route_state* service_state::find_or_add_route(const std::string& route) {
+  auto found = routes_.find(route);
+  if (found == routes_.end() && routes_.size() < most_routes) {
+    found = routes_.emplace(route, route_state{}).first;
+  }
+  return found == routes_.end() ? nullptr : &found->second;
+}
+
+duration service_state::latency_of(const std::string& route, double q) const {
+  const route_state* const known = find_route(route);
+  return known == nullptr ? assumed_latency : known->latency.quantile(q, assumed_latency);
+}
+
+}  // namespace nutmegarch::policy
