--- a/performance_test/virtual_time/overload_measures.cpp
+++ b/performance_test/virtual_time/overload_measures.cpp
@@ -1,5 +1,8 @@
 #include <algorithm>
 #include <functional>
+#include <future>
+#include <map>
+#include <mutex>
 
 #include "performance_test/virtual_time/fake_callers.h"
 #include "performance_test/virtual_time/measure.h"
@@ -75,6 +78,59 @@
   }
 };
 
+/// What several measures take from one run.
+struct run_figures {
+  double capacity = 0;
+  double answered = 0;
+  double orders_answered = 0;
+  double orders_share = 0;
+  double wasted = 0;
+};
+
+/// Makes each run once, however many measures ask for it, on whichever thread asks first.
+class run_cache {
+ public:
+  using make = std::function<run_figures(bool baseline, std::uint64_t seed)>;
+
+  run_figures get(bool baseline, std::uint64_t seed, const make& make_run) {
+    std::shared_future<run_figures> found;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      std::shared_future<run_figures>& known = runs_[{baseline, seed}];
+      if (!known.valid()) {
+        known = std::async(std::launch::deferred, make_run, baseline, seed).share();
+      }
+      found = known;
+    }
+    return found.get();
+  }
+
+ private:
+  std::mutex mutex_;
+  std::map<std::pair<bool, std::uint64_t>, std::shared_future<run_figures>> runs_;
+};
+
+run_figures figures_of(const deployment& fleet, const fake_callers& callers, duration begin, duration end) {
+  return {fleet.capacity(0), callers.answered_rate(begin, end), callers.answered_rate(begin, end, true),
+          callers.answered_share(begin, end, call_class::order), callers.wasted_share()};
+}
+
+run_figures surge(bool baseline, std::uint64_t seed) {
+  static run_cache cache;
+  return cache.get(baseline, seed, [](bool is_baseline, std::uint64_t with_seed) {
+    const surge_run run(is_baseline, with_seed);
+    return figures_of(run.fleet, run.callers, seconds(0), surge_length);
+  });
+}
+
+run_figures swing(bool baseline, std::uint64_t seed) {
+  static run_cache cache;
+  return cache.get(baseline, seed, [](bool is_baseline, std::uint64_t with_seed) {
+    const swing_run run(is_baseline, with_seed);
+    return figures_of(run.fleet, run.callers, swing_run::crest_begin, swing_run::crest_end);
+  });
+}
+
 /// Time from `surge_end` until one second of answers reaches 95% of what is offered, and stays there for a
 /// second.
 double time_to_recover(const fake_callers& callers, double offered_rate) {
@@ -91,23 +147,17 @@
 
 measured measure_goodput(std::uint64_t seed) {
   return compare([seed](bool baseline) {
-    const surge_run run(baseline, seed);
-    return run.callers.answered_rate(seconds(0), surge_length) / run.fleet.capacity(0);
+    const run_figures run = surge(baseline, seed);
+    return run.answered / run.capacity;
   });
 }
 
 measured measure_orders(std::uint64_t seed) {
-  return compare([seed](bool baseline) {
-    const surge_run run(baseline, seed);
-    return run.callers.answered_share(seconds(0), surge_length, call_class::order);
-  });
+  return compare([seed](bool baseline) { return surge(baseline, seed).orders_share; });
 }
 
 measured measure_wasted(std::uint64_t seed) {
-  return compare([seed](bool baseline) {
-    const surge_run run(baseline, seed);
-    return run.callers.wasted_share();
-  });
+  return compare([seed](bool baseline) { return surge(baseline, seed).wasted; });
 }
 
 measured measure_recovery(std::uint64_t seed) {
@@ -126,18 +176,13 @@
 }
 
 measured measure_crest(std::uint64_t seed) {
-  return compare([seed](bool baseline) {
-    const swing_run run(baseline, seed);
-    return run.callers.answered_share(swing_run::crest_begin, swing_run::crest_end, call_class::order);
-  });
+  return compare([seed](bool baseline) { return swing(baseline, seed).orders_share; });
 }
 
 measured measure_crest_fill(std::uint64_t seed) {
   return compare([seed](bool baseline) {
-    const swing_run run(baseline, seed);
-    const double orders = run.callers.answered_rate(swing_run::crest_begin, swing_run::crest_end, true);
-    const double all = run.callers.answered_rate(swing_run::crest_begin, swing_run::crest_end);
-    return (all - orders) / (run.fleet.capacity(0) - orders);
+    const run_figures run = swing(baseline, seed);
+    return (run.answered - run.orders_answered) / (run.capacity - run.orders_answered);
   });
 }
 
