--- a/unit_tests/policy/receiver_test.cpp
+++ b/unit_tests/policy/receiver_test.cpp
@@ -207,6 +207,23 @@
   BOOST_TEST((short_call->phase == inbound_phase::running));
 }
 
+BOOST_AUTO_TEST_CASE(a_late_wake_up_drops_what_expired_before_it_starts_anything) {
+  receiver_settings settings;
+  settings.slots = 1;
+  receiver tested(settings);
+  receiver_actions actions;
+  const inbound_call_ptr running = make_call(1, call_class::order, begin, std::chrono::seconds(1));
+  const inbound_call_ptr waiting = make_call(2, call_class::order, begin, std::chrono::seconds(1));
+  tested.offer(running, begin, actions);
+  tested.offer(waiting, begin, actions);
+  actions.clear();
+  // The first event after a pause of 30 s is the target's answer, before any timer.
+  tested.finish(running, target_result::answered, begin + std::chrono::seconds(30), actions);
+  BOOST_REQUIRE(actions.size() == 1U);
+  BOOST_TEST((actions.front().what == receiver_action::kind::refuse));
+  BOOST_TEST((actions.front().reason == call_reason::deadline));
+}
+
 BOOST_AUTO_TEST_CASE(a_leaving_node_takes_nothing_new_and_ends_what_it_has) {
   receiver_settings settings;
   settings.slots = 1;
--- a/unit_tests/policy/sender_test.cpp
+++ b/unit_tests/policy/sender_test.cpp
@@ -208,6 +208,38 @@
   BOOST_TEST(later->attempts.size() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(after_a_pause_what_answers_said_counts_no_more, fixture) {
+  const std::vector<endpoint_ptr> endpoints = make_endpoints(1);
+  tested.set_endpoints("s", endpoints);
+  const outbound_call_ptr first = make_call(never, true);
+  tested.start(first, begin, actions);
+  attempt_answer answer = make_answer(call_outcome::ok);
+  answer.report->level.cutoff = 1;
+  answer.route_level.cutoff = 1;
+  tested.on_answer(first, 0, answer, begin, actions);
+  endpoints.front()->ejected_until = begin + std::chrono::seconds(30);
+
+  tested.forget_reports();
+  const outbound_call_ptr later = make_call(never, true);
+  tested.start(later, begin, actions);
+  BOOST_TEST(later->attempts.size() == 1U);
+  BOOST_TEST((tested.level_of("s", "GET /a", begin) == level_admits_all));
+}
+
+// A pause of any length: what waited is dropped by its deadline before anything is started.
+BOOST_FIXTURE_TEST_CASE(a_late_wake_up_tells_of_deadlines_first, fixture) {
+  tested.set_endpoints("s", make_endpoints(2));
+  const outbound_call_ptr call = make_call(begin + std::chrono::seconds(1), false);
+  tested.start(call, begin, actions);
+  tested.on_time(begin + std::chrono::seconds(30), actions);
+  BOOST_REQUIRE(find(sender_action::kind::complete) != nullptr);
+  BOOST_TEST((find(sender_action::kind::complete)->outcome == call_outcome::unknown));
+  // The answer of before the pause comes late, and changes nothing.
+  const std::size_t seen = actions.size();
+  tested.on_answer(call, 0, make_answer(call_outcome::ok), begin + std::chrono::seconds(30), actions);
+  BOOST_TEST(actions.size() == seen);
+}
+
 BOOST_FIXTURE_TEST_CASE(calls_stay_in_the_region_while_it_has_a_target, fixture) {
   const std::vector<endpoint_ptr> endpoints = make_endpoints(2);
   endpoints.at(1)->distance = proximity::other_region;
