--- a/nutmegarch/policy/crash_registry.cpp
+++ b/nutmegarch/policy/crash_registry.cpp
@@ -3,11 +3,9 @@
 namespace nutmegarch::policy {
 
 void crash_registry::on_crash(std::uint64_t fingerprint, time_point now) {
-  auto success = succeeded_.find(fingerprint);
-  if (success != succeeded_.end() && now - success->second < settings_.success_lifetime) {
-    return;
+  if (!has_succeeded(fingerprint, now)) {
+    set(fingerprint, crashes(fingerprint, now) + 1, now);
   }
-  set(fingerprint, crashes(fingerprint, now) + 1, now);
 }
 
 void crash_registry::on_success(std::uint64_t fingerprint, time_point now) {
@@ -20,9 +18,7 @@
 }
 
 bool crash_registry::merge(const crash_mark& mark, time_point now) {
-  auto success = succeeded_.find(mark.fingerprint);
-  const bool is_harmless = success != succeeded_.end() && now - success->second < settings_.success_lifetime;
-  if (is_harmless || mark.crashes <= crashes(mark.fingerprint, now)) {
+  if (has_succeeded(mark.fingerprint, now) || mark.crashes <= crashes(mark.fingerprint, now)) {
     return false;
   }
   set(mark.fingerprint, mark.crashes, now);
@@ -44,6 +40,11 @@
   return all;
 }
 
+bool crash_registry::has_succeeded(std::uint64_t fingerprint, time_point now) const {
+  auto success = succeeded_.find(fingerprint);
+  return success != succeeded_.end() && now - success->second < settings_.success_lifetime;
+}
+
 void crash_registry::erase(std::uint64_t fingerprint) {
   auto found = entries_.find(fingerprint);
   if (found != entries_.end()) {
--- a/nutmegarch/policy/crash_registry.h
+++ b/nutmegarch/policy/crash_registry.h
@@ -62,6 +62,8 @@
     std::list<std::uint64_t>::iterator place;
   };
 
+  /// The request ran to its end a short while ago.
+  bool has_succeeded(std::uint64_t fingerprint, time_point now) const;
   void set(std::uint64_t fingerprint, int crashes, time_point now);
   void erase(std::uint64_t fingerprint);
 
--- a/performance_test/virtual_time/fake_callers.h
+++ b/performance_test/virtual_time/fake_callers.h
@@ -26,7 +26,7 @@
   duration client_delay = std::chrono::milliseconds(1);
   /// Nodes of the first service that callers connect to; empty: all.
   std::vector<std::size_t> entries;
-  /// The client refuses to wait for a request's answer beyond this when it counts it; 0: as patience.
+  /// Keeps the latencies of short requests, for latency_quantile().
   bool keep_latencies = false;
 };
 
