--- a/nutmegarch/command/node_command.cpp
+++ b/nutmegarch/command/node_command.cpp
@@ -8,6 +8,8 @@
 #include "nutmegarch/command/commands.h"
 #include "nutmegarch/node/node.h"
 
+#include "platform/adapter.h"
+
 namespace nutmegarch::command {
 
 namespace {
@@ -24,16 +26,35 @@
   return received;
 }
 
-int serve(const node::node_settings& settings) {
+/// The adapter of the platform whose dialect the settings name; nothing for the product's own.
+std::optional<node::platform_adapter> make_adapter(const node::node_settings& settings) {
+  if (settings.platform.dialect.empty()) {
+    return std::nullopt;
+  }
+  return platform_adapter::make_adapter(settings.platform.address);
+}
+
+/// Reads the settings anew. What a node learns from its settings holds for its lifetime, so a change is only
+/// checked and reported; the process keeps serving with what it has.
+void reload(const std::string& path, const node::node_settings& settings) {
+  const std::optional<node::node_settings> read = read_settings(path, node::read_node_settings);
+  const bool is_good = read.has_value();
+  observe::log_event(is_good ? observe::log_level::info : observe::log_level::warning, "settings-reloaded",
+                     {{"host", settings.identity.host}, {"result", is_good ? "kept" : "refused"}});
+}
+
+int serve(const std::string& path, const node::node_settings& settings) {
   // Threads inherit the mask, so that only this one takes the signals.
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
 
-  node::node served(settings, random_number(), random_number());
+  const std::optional<node::platform_adapter> adapter = make_adapter(settings);
+  node::node served(settings, random_number(), random_number(), adapter);
   const std::string error = served.start();
   if (!error.empty()) {
     std::cerr << "nutmegarch node: " << error << '\n';
@@ -41,7 +62,10 @@
   }
   observe::log_event(observe::log_level::info, "node-started",
                      {{"host", settings.identity.host}, {"callers", settings.listen.callers}});
-  wait_for_signal(signals);
+  while (wait_for_signal(signals) == SIGHUP) {
+    reload(path, settings);
+  }
+  observe::log_event(observe::log_level::info, "node-stopping", {{"host", settings.identity.host}});
   served.leave();
   served.wait();
   return done;
@@ -68,7 +92,7 @@
     return done;
   }
   observe::configure_log(settings->log);
-  return serve(*settings);
+  return serve(file.getValue(), *settings);
 }
 
 }  // namespace nutmegarch::command
--- a/nutmegarch/core/call.h
+++ b/nutmegarch/core/call.h
@@ -51,9 +51,22 @@
   registry_full,
   revalidating,
   target_error,
-  too_large
+  too_large,
+  /// No configuration has been read yet.
+  not_configured,
+  /// No route matches the request.
+  no_route,
+  /// The request lacks a field that it needs, or has a malformed one.
+  malformed,
+  /// The target itself refused the call before running it.
+  target_refused,
+  /// Another target process has the address.
+  other_instance
 };
 
+/// The last of the reasons, for checks of received values.
+constexpr call_reason last_call_reason = call_reason::other_instance;
+
 /// Identity of a request; one for the whole call chain (W3C trace id).
 struct request_id {
   std::uint64_t high = 0;
@@ -100,6 +113,10 @@
   std::uint64_t fingerprint = 0;
   /// Set for orders that have one.
   std::optional<order_ticket> ticket;
+  /// The caller's own name of this attempt, for logs; empty when it has none.
+  std::string attempt_id;
+  /// The target process that is to run the call, as published; empty when any may.
+  std::string instance;
 };
 
 /// Calls of this class and rank, and of everything less important, are refused.
--- a/nutmegarch/core/message.h
+++ b/nutmegarch/core/message.h
@@ -20,6 +20,8 @@
   std::string target;
   headers fields;
   std::string body;
+  /// Host that the caller addressed (the Host field); empty when it named none.
+  std::string authority = {};
 };
 
 /// A whole answer as it passes through a node.
--- a/nutmegarch/core/time.h
+++ b/nutmegarch/core/time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace nutmegarch {
 
@@ -34,12 +35,14 @@
   virtual time_point now() const = 0;
 };
 
-/// The monotonic clock of the operating system.
+/// The monotonic clock of the operating system. It counts the time during which the machine was suspended,
+/// so that deadlines pass meanwhile.
 class system_time_source final : public time_source {
  public:
   time_point now() const override {
-    return time_point(
-        std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    timespec read{};
+    clock_gettime(CLOCK_BOOTTIME, &read);
+    return time_point(std::chrono::seconds(read.tv_sec) + duration(read.tv_nsec));
   }
 };
 
--- a/nutmegarch/http/client_pool.cpp
+++ b/nutmegarch/http/client_pool.cpp
@@ -1,11 +1,15 @@
 #include "nutmegarch/http/client_pool.h"
 
+#include <algorithm>
+#include <charconv>
 #include <mutex>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -16,6 +20,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "nutmegarch/http/conversion.h"
+#include "nutmegarch/http/socket_options.h"
 
 namespace nutmegarch::http {
 
@@ -26,6 +31,19 @@
 using tcp = asio::ip::tcp;
 using stream_ptr = std::unique_ptr<beast::tcp_stream>;
 
+/// Answers below this status announce another one.
+constexpr unsigned first_final_status = 200;
+constexpr unsigned first_error_status = 400;
+/// A connection is given up this much before the other end would close it.
+constexpr duration idle_margin = std::chrono::milliseconds(500);
+
+/// A connection that waits for its next request.
+struct idle_connection {
+  stream_ptr stream;
+  /// The other end may close it from here on.
+  std::chrono::steady_clock::time_point expires;
+};
+
 /// True when the other end has neither closed the connection nor written what nobody asked for.
 bool is_clean(tcp::socket& socket) {
   char byte = 0;
@@ -35,6 +53,20 @@
   return error == asio::error::would_block;
 }
 
+/// The idle time that an answer's Keep-Alive field allows; nothing when it names none.
+std::optional<duration> keep_alive_of(const beast_response& answer) {
+  constexpr std::string_view name = "timeout=";
+  const std::string field(answer[beast::http::field::keep_alive]);
+  const std::size_t begin = field.find(name);
+  unsigned value = 0;
+  if (begin == std::string::npos) {
+    return std::nullopt;
+  }
+  const char* const digits = field.data() + begin + name.size();
+  const std::from_chars_result parsed = std::from_chars(digits, field.data() + field.size(), value);
+  return parsed.ec == std::errc() ? std::optional<duration>(std::chrono::seconds(value)) : std::nullopt;
+}
+
 /// One request over one connection. All its members are used on its strand only.
 class exchange final : public std::enable_shared_from_this<exchange> {
  public:
@@ -44,23 +76,25 @@
       : stream_(std::move(stream)),
         request_(std::move(request)),
         settings_(settings),
-        done_(std::move(done)) {}
+        done_(std::move(done)),
+        idle_timeout_(settings.idle_timeout) {}
 
   /// Connects first, unless the stream is connected.
   void start(const tcp::endpoint& address, duration timeout, bool is_connected) {
     deadline_ = std::chrono::steady_clock::now() + timeout;
     asio::dispatch(stream_->get_executor(), [self = shared_from_this(), address, is_connected]() {
       if (is_connected) {
-        self->write();
+        self->begin();
         return;
       }
-      self->stream_->expires_after(self->settings_.connect_timeout);
+      self->stream_->expires_at(
+          std::min(self->deadline_, std::chrono::steady_clock::now() + self->settings_.connect_timeout));
       self->stream_->async_connect(address, [self](beast::error_code error) { self->on_connect(error); });
     });
   }
 
   void cancel() {
-    asio::post(stream_->get_executor(), [self = shared_from_this()]() {
+    asio::dispatch(stream_->get_executor(), [self = shared_from_this()]() {
       self->done_ = nullptr;
       if (self->stream_) {
         self->stream_->close();
@@ -70,28 +104,34 @@
 
   /// Hands the stream over; only for the callback.
   stream_ptr take_stream() { return std::move(stream_); }
+  /// How long the other end keeps the connection open without a request.
+  duration idle_timeout() const { return idle_timeout_; }
 
  private:
   void on_connect(beast::error_code error) {
+    if (!done_) {
+      return;
+    }
     if (error) {
       finish(client_error::unreachable, false);
       return;
     }
-    beast::error_code ignored;
-    stream_->socket().set_option(tcp::no_delay(true), ignored);
-    write();
+    set_connection_options(stream_->socket());
+    begin();
   }
 
-  void write() {
+  /// Writes and reads at once: an answer may come before the whole request was taken.
+  void begin() {
+    if (!done_) {
+      return;
+    }
     stream_->expires_at(deadline_);
     beast::http::async_write(*stream_, request_,
                              [self = shared_from_this()](beast::error_code error, std::size_t) {
-                               if (error) {
-                                 self->finish(error_of(error), false);
-                                 return;
-                               }
-                               self->read();
+                               // A failure shows at the reading side, unless an answer is there already.
+                               self->is_written_ = !error;
                              });
+    read();
   }
 
   void read() {
@@ -106,20 +146,45 @@
   }
 
   void on_read(beast::error_code error) {
+    if (!done_) {
+      return;
+    }
     if (error) {
       finish(error_of(error), false);
       return;
     }
-    // An answer that ends with its connection can't be told from one that was cut off.
-    const bool has_end = parser_->chunked() || parser_->content_length() || parser_->get().body().empty();
-    if (!has_end) {
+    const beast_response& answer = parser_->get();
+    if (answer.result_int() < first_final_status) {
+      read();
+      return;
+    }
+    if (!is_for_this_request(answer)) {
+      is_out_of_step_ = true;
+      read();
+      return;
+    }
+    // Without a length, only an orderly end of the connection shows that an answer is whole.
+    const bool has_end = parser_->chunked() || parser_->content_length() || answer.body().empty();
+    if (!has_end && !settings_.accepts_unframed) {
       finish(client_error::malformed, false);
       return;
     }
-    const bool reusable = parser_->get().keep_alive() && buffer_.size() == 0;
+    const bool reusable =
+        has_end && parser_->keep_alive() && buffer_.size() == 0 && is_written_ && !is_out_of_step_;
+    idle_timeout_ = std::min(idle_timeout_, keep_alive_of(answer).value_or(idle_timeout_));
     finish(from_beast(parser_->release()), reusable);
   }
 
+  /// A refusal may lack the field, since the other end need not have read the request.
+  bool is_for_this_request(const beast_response& answer) const {
+    if (settings_.echoed_field.empty()) {
+      return true;
+    }
+    const beast::string_view sent = request_[settings_.echoed_field];
+    const beast::string_view echoed = answer[settings_.echoed_field];
+    return sent == echoed || (echoed.empty() && answer.result_int() >= first_error_status);
+  }
+
   static client_error error_of(beast::error_code error) {
     if (error == beast::error::timeout) {
       return client_error::timed_out;
@@ -151,6 +216,10 @@
   std::chrono::steady_clock::time_point deadline_;
   beast::flat_buffer buffer_;
   std::optional<beast::http::response_parser<beast::http::string_body>> parser_;
+  duration idle_timeout_;
+  bool is_written_ = false;
+  /// An answer to an earlier request has come over the connection.
+  bool is_out_of_step_ = false;
 };
 
 }  // namespace
@@ -215,11 +284,12 @@
  private:
   /// The newest idle connection that is still good. Holds the lock.
   stream_ptr take_idle() {
+    const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
     while (!idle_.empty()) {
-      stream_ptr stream = std::move(idle_.back());
+      idle_connection newest = std::move(idle_.back());
       idle_.pop_back();
-      if (is_clean(stream->socket())) {
-        return stream;
+      if (now < newest.expires && is_clean(newest.stream->socket())) {
+        return std::move(newest.stream);
       }
     }
     return nullptr;
@@ -227,14 +297,16 @@
 
   void release(std::uint64_t number, exchange& ended, bool reusable) {
     stream_ptr stream = ended.take_stream();
-    stream->expires_never();
     const std::lock_guard<std::mutex> lock(mutex_);
     open_.erase(number);
-    if (reusable && static_cast<int>(idle_.size()) < settings_.most_idle) {
-      idle_.push_back(std::move(stream));
-    } else {
+    if (!reusable || static_cast<int>(idle_.size()) >= settings_.most_idle) {
       stream->close();
+      return;
     }
+    stream->expires_never();
+    // The other end counts from an earlier moment on.
+    const duration allowed = ended.idle_timeout() - std::min(ended.idle_timeout() / 5, idle_margin);
+    idle_.push_back({std::move(stream), std::chrono::steady_clock::now() + allowed});
   }
 
   asio::io_context& workers_;
@@ -245,7 +317,7 @@
   std::mutex mutex_;
   std::uint64_t last_number_ = 0;
   std::unordered_map<std::uint64_t, std::shared_ptr<exchange>> open_;
-  std::vector<stream_ptr> idle_;
+  std::vector<idle_connection> idle_;
 };
 
 client_pool::client_pool(asio::io_context& workers, const tcp::endpoint& address,
--- a/nutmegarch/http/client_pool.h
+++ b/nutmegarch/http/client_pool.h
@@ -37,6 +37,13 @@
   duration connect_timeout = std::chrono::seconds(1);
   /// Largest body of an answer, in bytes.
   std::size_t most_body_bytes = 1U << 20U;
+  /// Idle connections are closed after this time; sooner when an answer names a shorter one (Keep-Alive).
+  duration idle_timeout = std::chrono::seconds(60);
+  /// Name of a field that answers repeat from their request; empty when there is none. An answer with another
+  /// value belongs to an earlier request: it is dropped, and its connection is not used again.
+  std::string echoed_field;
+  /// An answer without a length ends with its connection; else such an answer is malformed.
+  bool accepts_unframed = false;
 };
 
 /// Pooled HTTP/1.1 connections to one address. A request is written once, to one connection; a connection
--- a/nutmegarch/http/conversion.cpp
+++ b/nutmegarch/http/conversion.cpp
@@ -42,6 +42,7 @@
   request_message request;
   request.method = std::string(from.method_string());
   request.target = std::string(from.target());
+  request.authority = std::string(from[beast_http::field::host]);
   request.fields = read_fields(from);
   request.body = std::move(from.body());
   return request;
@@ -60,7 +61,7 @@
   request.version(11);
   request.method_string(from.method);
   request.target(from.target);
-  request.set(beast_http::field::host, host);
+  request.set(beast_http::field::host, from.authority.empty() ? host : from.authority);
   for (const header& field : from.fields) {
     request.insert(field.name, field.value);
   }
--- a/nutmegarch/http/server.cpp
+++ b/nutmegarch/http/server.cpp
@@ -2,12 +2,16 @@
 
 #include <atomic>
 #include <chrono>
+#include <deque>
 #include <mutex>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -19,6 +23,7 @@
 #include "nutmegarch/http/address.h"
 #include "nutmegarch/http/conversion.h"
 #include "nutmegarch/http/problem.h"
+#include "nutmegarch/http/socket_options.h"
 
 namespace nutmegarch::http {
 
@@ -30,6 +35,8 @@
 
 /// A caller that does not take its answer for this long is cut off.
 constexpr duration write_timeout = std::chrono::seconds(10);
+/// Time between two looks for idle connections.
+constexpr duration sweep_interval = std::chrono::milliseconds(500);
 
 std::uint64_t next_exchange() {
   static std::atomic<std::uint64_t> last{0};
@@ -38,13 +45,24 @@
 
 /// What sessions share with their listener.
 struct shared_state {
-  server_settings settings;
+  explicit shared_state(const server_settings& all)
+      : settings(all),
+        most_head_bytes(all.most_head_bytes),
+        most_body_bytes(all.most_body_bytes),
+        idle_timeout(all.idle_timeout.count()) {}
+
+  const server_settings settings;
+  /// Bounds that may change while the server runs; the timeout in nanoseconds.
+  std::atomic<std::size_t> most_head_bytes;
+  std::atomic<std::size_t> most_body_bytes;
+  std::atomic<duration::rep> idle_timeout;
   request_handler* handler = nullptr;
   std::atomic<int> connections{0};
   std::atomic<bool> stopping{false};
 };
 
-/// One connection. All its members are used on its strand only.
+/// One connection. Requests are read while earlier ones wait for their answers; answers leave in the order of
+/// their requests. All its members are used on its strand only.
 class session final : public std::enable_shared_from_this<session> {
  public:
   session(tcp::socket socket, std::shared_ptr<shared_state> state)
@@ -56,40 +74,66 @@
   ~session() { --state_->connections; }
 
   void start() {
-    beast::error_code ignored;
-    stream_.socket().set_option(tcp::no_delay(true), ignored);
+    set_connection_options(stream_.socket());
+    last_active_ = std::chrono::steady_clock::now();
     asio::dispatch(stream_.get_executor(), [self = shared_from_this()]() { self->read(); });
   }
 
+  beast::tcp_stream::executor_type executor() { return stream_.get_executor(); }
+
+  /// Closes the connection when nothing is asked on it for too long.
+  void close_if_idle(std::chrono::steady_clock::time_point now, bool is_stopping) {
+    const bool is_quiet = slots_.empty() && !is_writing_;
+    const duration allowed = is_stopping ? state_->settings.stopping_idle_timeout : duration(state_->idle_timeout.load());
+    if (is_quiet && now - last_active_ >= allowed) {
+      close();
+    }
+  }
+
  private:
+  /// A request that is not answered yet, in its place.
+  struct slot {
+    std::uint64_t exchange = 0;
+    bool keep_alive = true;
+    std::optional<answer_message> answer;
+  };
+
   void read() {
+    if (is_reading_ || is_closed_ || !reads_on_ || slots_.size() >= state_->settings.most_pipelined) {
+      return;
+    }
+    is_reading_ = true;
     parser_.emplace();
-    parser_->body_limit(state_->settings.most_body_bytes);
-    parser_->header_limit(static_cast<std::uint32_t>(state_->settings.most_head_bytes));
-    stream_.expires_after(state_->settings.idle_timeout);
+    parser_->body_limit(state_->most_body_bytes.load());
+    parser_->header_limit(static_cast<std::uint32_t>(state_->most_head_bytes.load()));
+    stream_.expires_never();
     beast::http::async_read(
         stream_, buffer_, *parser_,
         [self = shared_from_this()](beast::error_code error, std::size_t) { self->on_read(error); });
   }
 
   void on_read(beast::error_code error) {
+    is_reading_ = false;
+    last_active_ = std::chrono::steady_clock::now();
+    if (is_closed_) {
+      return;
+    }
     if (error) {
       refuse(error);
       return;
     }
     beast_request request = parser_->release();
-    keep_alive_ = request.keep_alive();
-    exchange_ = next_exchange();
-    is_waiting_ = true;
-    stream_.expires_never();
-    watch_for_disconnect();
-    state_->handler->on_request(exchange_, from_beast(std::move(request)),
-                                [self = shared_from_this(), exchange = exchange_](answer_message answer) {
-                                  asio::post(self->stream_.get_executor(),
-                                             [self, exchange, answer = std::move(answer)]() mutable {
-                                               self->answer(exchange, std::move(answer));
-                                             });
+    const std::uint64_t exchange = next_exchange();
+    slots_.push_back({exchange, request.keep_alive(), std::nullopt});
+    reads_on_ = request.keep_alive() && !state_->stopping;
+    state_->handler->on_request(exchange, from_beast(std::move(request)),
+                                [self = shared_from_this(), exchange](answer_message answer) {
+                                  asio::dispatch(self->stream_.get_executor(),
+                                                 [self, exchange, answer = std::move(answer)]() mutable {
+                                                   self->answer(exchange, std::move(answer));
+                                                 });
                                 });
+    read();
   }
 
   /// Answers what could not be read, where that is of use to the caller.
@@ -98,70 +142,85 @@
         error.category() == make_error_code(beast::http::error::bad_method).category();
     if (!is_parse_error || error == beast::http::error::end_of_stream ||
         error == beast::http::error::partial_message) {
-      close();
+      leave();
       return;
     }
     const int status = error == beast::http::error::body_limit     ? 413
                        : error == beast::http::error::header_limit ? 431
                                                                    : 400;
     state_->handler->on_bad_request(status, error.message());
-    keep_alive_ = false;
     answer_message problem = make_problem(status, phrase_of(status), error.message());
     if (status == 413) {
       problem = make_problem(call_outcome::not_run, call_reason::too_large, "");
     }
-    write(std::move(problem));
+    reads_on_ = false;
+    slots_.push_back({next_exchange(), false, std::move(problem)});
+    write();
   }
 
-  /// While the answer is awaited, readability means the end of the connection or the next request.
-  void watch_for_disconnect() {
-    stream_.socket().async_wait(tcp::socket::wait_read,
-                                [self = shared_from_this(), exchange = exchange_](beast::error_code error) {
-                                  self->on_readable(exchange, error);
-                                });
+  /// The caller has gone: nobody waits for the answers that are due.
+  void leave() {
+    close();
+    std::deque<slot> abandoned;
+    abandoned.swap(slots_);
+    for (const slot& due : abandoned) {
+      if (!due.answer) {
+        state_->handler->on_disconnect(due.exchange);
+      }
+    }
   }
 
-  void on_readable(std::uint64_t exchange, beast::error_code error) {
-    if (error || !is_waiting_ || exchange != exchange_) {
-      return;
+  void answer(std::uint64_t exchange, answer_message content) {
+    for (slot& due : slots_) {
+      if (due.exchange == exchange && !due.answer) {
+        due.answer = std::move(content);
+        break;
+      }
     }
-    char byte = 0;
-    beast::error_code peek_error;
-    stream_.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peek_error);
-    if (!peek_error) {
+    write();
+  }
+
+  void write() {
+    if (is_writing_ || is_closed_ || slots_.empty() || !slots_.front().answer) {
       return;
     }
-    is_waiting_ = false;
-    state_->handler->on_disconnect(exchange);
-    close();
+    is_writing_ = true;
+    // Only the last answer that is due may announce the end of the connection.
+    if (state_->stopping) {
+      reads_on_ = false;
+    }
+    const bool is_last = slots_.size() == 1 && !is_reading_part();
+    closes_ = !slots_.front().keep_alive || (is_last && state_->stopping);
+    response_ = to_beast(std::move(*slots_.front().answer), !closes_);
+    stream_.expires_after(write_timeout);
+    beast::http::async_write(
+        stream_, response_,
+        [self = shared_from_this()](beast::error_code error, std::size_t) { self->on_written(error); });
   }
 
-  void answer(std::uint64_t exchange, answer_message content) {
-    if (!is_waiting_ || exchange != exchange_) {
+  void on_written(beast::error_code error) {
+    is_writing_ = false;
+    last_active_ = std::chrono::steady_clock::now();
+    if (is_closed_) {
       return;
     }
-    is_waiting_ = false;
-    // Ends the wait for a disconnect.
-    beast::error_code ignored;
-    stream_.socket().cancel(ignored);
-    write(std::move(content));
+    slots_.pop_front();
+    if (error || closes_) {
+      leave();
+      return;
+    }
+    write();
+    read();
   }
 
-  void write(answer_message content) {
-    const bool keep_alive = keep_alive_ && !state_->stopping;
-    response_ = to_beast(std::move(content), keep_alive);
-    stream_.expires_after(write_timeout);
-    beast::http::async_write(stream_, response_,
-                             [self = shared_from_this(), keep_alive](beast::error_code error, std::size_t) {
-                               if (error || !keep_alive) {
-                                 self->close();
-                                 return;
-                               }
-                               self->read();
-                             });
-  }
+  /// Some of the next request has arrived.
+  bool is_reading_part() const { return is_reading_ && (buffer_.size() > 0 || parser_->got_some()); }
 
   void close() {
+    if (is_closed_) {
+      return;
+    }
+    is_closed_ = true;
     beast::error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
     stream_.close();
@@ -172,9 +231,15 @@
   beast::flat_buffer buffer_;
   std::optional<beast::http::request_parser<beast::http::string_body>> parser_;
   beast_response response_;
-  std::uint64_t exchange_ = 0;
-  bool is_waiting_ = false;
-  bool keep_alive_ = true;
+  std::deque<slot> slots_;
+  std::chrono::steady_clock::time_point last_active_;
+  bool is_reading_ = false;
+  bool is_writing_ = false;
+  bool is_closed_ = false;
+  /// Further requests are read from the connection.
+  bool reads_on_ = true;
+  /// The answer that is being written is the last one.
+  bool closes_ = false;
 };
 
 }  // namespace
@@ -183,8 +248,10 @@
 class server::listener final : public std::enable_shared_from_this<server::listener> {
  public:
   listener(asio::io_context& workers, const server_settings& settings, request_handler& handler)
-      : workers_(workers), acceptor_(asio::make_strand(workers)), state_(std::make_shared<shared_state>()) {
-    state_->settings = settings;
+      : workers_(workers),
+        acceptor_(asio::make_strand(workers)),
+        sweep_timer_(acceptor_.get_executor()),
+        state_(std::make_shared<shared_state>(settings)) {
     state_->handler = &handler;
   }
 
@@ -204,9 +271,16 @@
       return false;
     }
     accept();
+    sweep();
     return true;
   }
 
+  void set_limits(std::size_t most_head_bytes, std::size_t most_body_bytes, duration idle_timeout) {
+    state_->most_head_bytes = most_head_bytes;
+    state_->most_body_bytes = most_body_bytes;
+    state_->idle_timeout = idle_timeout.count();
+  }
+
   void refuse_keep_alive() { state_->stopping = true; }
 
   void stop() {
@@ -225,12 +299,55 @@
       tcp::socket socket(asio::make_strand(workers_));
       acceptor_.accept(socket, error);
       if (!error) {
-        std::make_shared<session>(std::move(socket), state_)->start();
+        open_session(std::move(socket));
       }
     }
     acceptor_.close(error);
   }
 
+  void open_session(tcp::socket socket) {
+    const std::shared_ptr<session> opened = std::make_shared<session>(std::move(socket), state_);
+    {
+      const std::lock_guard<std::mutex> lock(sessions_mutex_);
+      sessions_.push_back(opened);
+    }
+    opened->start();
+  }
+
+  /// Closes idle connections now and then.
+  void sweep() {
+    sweep_timer_.expires_after(sweep_interval);
+    sweep_timer_.async_wait([weak = weak_from_this()](beast::error_code error) {
+      const std::shared_ptr<listener> self = weak.lock();
+      if (error || !self) {
+        return;
+      }
+      self->close_idle();
+      self->sweep();
+    });
+  }
+
+  void close_idle() {
+    std::vector<std::shared_ptr<session>> open;
+    {
+      const std::lock_guard<std::mutex> lock(sessions_mutex_);
+      auto live = sessions_.begin();
+      for (const std::weak_ptr<session>& known : sessions_) {
+        if (std::shared_ptr<session> held = known.lock()) {
+          open.push_back(std::move(held));
+          *live++ = known;
+        }
+      }
+      sessions_.erase(live, sessions_.end());
+    }
+    const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
+    for (const std::shared_ptr<session>& known : open) {
+      asio::dispatch(known->executor(), [known, now, is_stopping = state_->stopping.load()]() {
+        known->close_if_idle(now, is_stopping);
+      });
+    }
+  }
+
   void accept() {
     acceptor_.async_accept(asio::make_strand(workers_),
                            [self = shared_from_this()](beast::error_code error, tcp::socket socket) {
@@ -243,14 +360,18 @@
       return;
     }
     if (!error && state_->connections < state_->settings.most_connections) {
-      std::make_shared<session>(std::move(socket), state_)->start();
+      open_session(std::move(socket));
     }
     accept();
   }
 
   asio::io_context& workers_;
   tcp::acceptor acceptor_;
+  asio::steady_timer sweep_timer_;
   std::shared_ptr<shared_state> state_;
+  /// Guards the list; no other lock is taken while it is held.
+  std::mutex sessions_mutex_;
+  std::vector<std::weak_ptr<session>> sessions_;
 };
 
 server::server(asio::io_context& workers, const server_settings& settings, request_handler& handler)
@@ -260,6 +381,10 @@
 
 bool server::start(const std::string& address) { return listener_->start(address); }
 
+void server::set_limits(std::size_t most_head_bytes, std::size_t most_body_bytes, duration idle_timeout) {
+  listener_->set_limits(most_head_bytes, most_body_bytes, idle_timeout);
+}
+
 void server::refuse_keep_alive() { listener_->refuse_keep_alive(); }
 
 void server::stop() { listener_->stop(); }
--- a/nutmegarch/http/server.h
+++ b/nutmegarch/http/server.h
@@ -39,11 +39,15 @@
   std::size_t most_head_bytes = 16U << 10U;
   /// A connection on which nothing is asked is closed after this time.
   duration idle_timeout = std::chrono::seconds(60);
+  /// The same once the server refuses to keep connections, so that callers with an open one are served on.
+  duration stopping_idle_timeout = std::chrono::seconds(60);
+  /// Requests of one connection that are read before the first of them is answered.
+  std::size_t most_pipelined = 64;
   /// Most connections at once; further ones are closed at once.
   int most_connections = 1024;
 };
 
-/// An HTTP/1.1 server on one address. Each connection carries one request at a time.
+/// An HTTP/1.1 server on one address. Callers may send further requests before the first is answered.
 class server {
  public:
   server(boost::asio::io_context& workers, const server_settings& settings, request_handler& handler);
@@ -53,6 +57,8 @@
 
   /// Listens on "IP:PORT". False when the address can't be had.
   bool start(const std::string& address);
+  /// Changes the bounds of settings while the server runs. Any thread may call it.
+  void set_limits(std::size_t most_head_bytes, std::size_t most_body_bytes, duration idle_timeout);
   /// Closes each connection after its next answer, so that callers move on.
   void refuse_keep_alive();
   /// Takes the connections that wait, and then accepts no more.
--- a/nutmegarch/membership/endpoint_table.cpp
+++ b/nutmegarch/membership/endpoint_table.cpp
@@ -14,19 +14,35 @@
   return found->kind == rules::rule_kind::drain ? 0 : found->weight;
 }
 
+/// Separates host and instance in a key; neither holds it.
+constexpr char key_separator = '\t';
+
+std::string key_of(const published_host& host) {
+  return host.instance.empty() ? host.host : host.host + key_separator + host.instance;
+}
+
+/// True for the keys of the target processes of a host.
+bool is_key_of(const std::string& key, const std::string& host) {
+  return key.compare(0, host.size(), host) == 0 && (key.size() == host.size() || key.at(host.size()) == key_separator);
+}
+
 }  // namespace
 
 std::vector<policy::endpoint_ptr> endpoint_table::apply(const std::string& service, const host_list& list,
-                                                        const rules::rule_table& rules) {
+                                                        const rules::rule_table& rules, time_point now) {
   std::vector<policy::endpoint_ptr> endpoints;
   std::set<std::string> listed;
   for (const published_host& host : list.hosts) {
-    listed.insert(host.host);
-    policy::endpoint_ptr& known = by_host_[host.host];
-    if (!known || known->address != host.peers) {
+    const std::string key = key_of(host);
+    listed.insert(key);
+    policy::endpoint_ptr& known = by_key_[key];
+    if (!known || known->address != host.peers || known->born != host.born) {
       known = policy::endpoint_ptr(new policy::endpoint());
+      known->cold_until = host.cold > duration{} ? now + host.cold : time_point{};
     }
     known->host = host.host;
+    known->instance = host.instance;
+    known->born = host.born;
     known->service = service;
     known->domain = host.domain;
     known->region = host.region;
@@ -40,46 +56,45 @@
   }
 
   // Forget the hosts of this service that are not published any more.
-  for (auto it = by_host_.begin(); it != by_host_.end();) {
+  for (auto it = by_key_.begin(); it != by_key_.end();) {
     const bool is_gone = it->second->service == service && listed.count(it->first) == 0;
-    it = is_gone ? by_host_.erase(it) : std::next(it);
+    it = is_gone ? by_key_.erase(it) : std::next(it);
   }
   return endpoints;
 }
 
 void endpoint_table::apply_rules(const rules::rule_table& rules) {
-  for (const std::pair<const std::string, policy::endpoint_ptr>& known : by_host_) {
-    known.second->weight = weight_by(rules, known.first);
+  for (const std::pair<const std::string, policy::endpoint_ptr>& known : by_key_) {
+    known.second->weight = weight_by(rules, known.second->host);
   }
 }
 
 void endpoint_table::on_report(const self_report& report) {
-  auto found = by_host_.find(report.host);
-  if (found == by_host_.end()) {
-    return;
-  }
-  policy::endpoint& known = *found->second;
-  if (known.incarnation != report.incarnation) {
-    known.incarnation = report.incarnation;
-    known.level_expires = time_point{};
-    known.carried_at = time_point{};
-    known.joined = time_point{};
-    known.consecutive_losses = 0;
-    known.ejections = 0;
-    known.ejected_until = time_point{};
+  for (auto it = by_key_.lower_bound(report.host); it != by_key_.end() && is_key_of(it->first, report.host);
+       ++it) {
+    policy::endpoint& known = *it->second;
+    if (known.incarnation != report.incarnation) {
+      known.incarnation = report.incarnation;
+      known.level_expires = time_point{};
+      known.carried_at = time_point{};
+      known.joined = time_point{};
+      known.consecutive_losses = 0;
+      known.ejections = 0;
+      known.ejected_until = time_point{};
+    }
+    known.said_leaving = report.leaving;
   }
-  known.said_leaving = report.leaving;
 }
 
 policy::endpoint_ptr endpoint_table::find(const std::string& host) const {
-  auto found = by_host_.find(host);
-  return found == by_host_.end() ? nullptr : found->second;
+  auto found = by_key_.lower_bound(host);
+  return found == by_key_.end() || !is_key_of(found->first, host) ? nullptr : found->second;
 }
 
 std::string endpoint_table::find_unknown() {
-  auto it = by_host_.upper_bound(last_unknown_);
-  for (std::size_t i = 0; i < by_host_.size(); ++i, ++it) {
-    it = it == by_host_.end() ? by_host_.begin() : it;
+  auto it = by_key_.upper_bound(last_unknown_);
+  for (std::size_t i = 0; i < by_key_.size(); ++i, ++it) {
+    it = it == by_key_.end() ? by_key_.begin() : it;
     if (it->second->incarnation == 0) {
       last_unknown_ = it->first;
       return it->second->address;
--- a/nutmegarch/membership/endpoint_table.h
+++ b/nutmegarch/membership/endpoint_table.h
@@ -32,7 +32,7 @@
 
   /// Takes a newly published list of a service. Returns its endpoints; those that stay keep their state.
   std::vector<policy::endpoint_ptr> apply(const std::string& service, const host_list& list,
-                                          const rules::rule_table& rules);
+                                          const rules::rule_table& rules, time_point now);
 
   /// Applies the rules that drain or weigh hosts.
   void apply_rules(const rules::rule_table& rules);
@@ -49,8 +49,10 @@
   policy::proximity proximity_to(const published_host& host) const;
 
   own_place place_;
-  std::map<std::string, policy::endpoint_ptr> by_host_;
-  /// Host after which find_unknown() goes on.
+  /// By host, and by instance where there is one. A host has several entries while one target process
+  /// follows another.
+  std::map<std::string, policy::endpoint_ptr> by_key_;
+  /// Key after which find_unknown() goes on.
   std::string last_unknown_;
 };
 
--- a/nutmegarch/membership/gossip_schedule.h
+++ b/nutmegarch/membership/gossip_schedule.h
@@ -18,6 +18,10 @@
   duration silence = std::chrono::seconds(15);
   /// Shortest time between two reads that nobody asked for.
   duration least_read_interval = std::chrono::seconds(10);
+  /// Time between two exchanges with peers whose incarnation is not known yet.
+  duration greeting_interval = std::chrono::milliseconds(40);
+  /// Addresses of peers that are known before any host list is read.
+  std::vector<std::string> seeds;
 };
 
 /// Decides when a node exchanges with which peers, and when it reads the configuration by itself.
--- a/nutmegarch/membership/host_list.h
+++ b/nutmegarch/membership/host_list.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "nutmegarch/core/result.h"
+#include "nutmegarch/core/time.h"
 
 namespace nutmegarch::membership {
 
@@ -19,6 +20,14 @@
   bool leaving = false;
   /// Load as last reported; late and at times wrong.
   double load = 0;
+  /// Name of the target process; empty where the platform tells none.
+  std::string instance;
+  /// IP number and port of the target itself; empty where the platform tells none.
+  std::string address;
+  /// When the target process started, on the platform's clock; 0 when unknown. Larger is newer.
+  std::int64_t born = 0;
+  /// How much longer the target is slow after its start.
+  duration cold{};
 };
 
 /// The hosts of one service. Published as JSON under the key "hosts/SERVICE":
--- /dev/null
+++ b/nutmegarch/membership/published_reader.cpp
@@ -0,0 +1,104 @@
+#include "nutmegarch/membership/published_reader.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace nutmegarch::membership {
+
+namespace {
+
+/// Doublings of the pause after failures, at the most.
+constexpr int most_doublings = 8;
+
+}  // namespace
+
+store_request published_reader::next(time_point now) {
+  if (is_open_ || now < not_before_) {
+    return {};
+  }
+  is_open_ = true;
+  store_request request;
+  if (is_listing_) {
+    request.what = store_request::kind::read_page;
+    request.after_key = after_key_;
+    request.may_be_stale = may_be_stale_;
+  } else {
+    request.what = store_request::kind::watch;
+    request.revision = watched_revision_;
+    request.wait = settings_.watch;
+  }
+  return request;
+}
+
+bool published_reader::on_page(const std::vector<published_item>& items, const std::string& next_key,
+                               std::uint64_t revision, time_point now) {
+  assert(is_listing_);
+  on_answer(now);
+  // Pages are read at different moments: changes are watched from the earliest of them on.
+  listing_revision_ = after_key_.empty() ? revision : std::min(listing_revision_, revision);
+  listing_.insert(listing_.end(), items.begin(), items.end());
+  if (!next_key.empty()) {
+    after_key_ = next_key;
+    return false;
+  }
+  const bool changed = state_.replace(listing_, listing_revision_, now);
+  watched_revision_ = listing_revision_;
+  restart(false);
+  is_listing_ = false;
+  return changed;
+}
+
+bool published_reader::on_changes(const std::vector<published_item>& changes, std::uint64_t revision,
+                                  time_point now) {
+  on_answer(now);
+  watched_revision_ = std::max(watched_revision_, revision);
+  if (!changes.empty()) {
+    not_before_ = now + settings_.gather;
+  }
+  return state_.apply(changes, revision, now);
+}
+
+void published_reader::on_history_lost(time_point now) {
+  on_answer(now);
+  // A stale listing may be as old as what is lost.
+  restart(false);
+}
+
+void published_reader::on_failure(time_point now) {
+  is_open_ = false;
+  const int doublings = std::min(failures_, most_doublings);
+  const duration pause =
+      std::min(settings_.longest_pause, settings_.first_pause * (std::int64_t{1} << doublings));
+  not_before_ = now + from_seconds(seconds(pause) * (0.5 + random_.unit()));
+  ++failures_;
+  if (is_listing_) {
+    restart(may_be_stale_);
+  }
+}
+
+void published_reader::on_pause() {
+  is_open_ = false;
+  not_before_ = time_point{};
+  if (is_listing_) {
+    restart(may_be_stale_);
+  }
+}
+
+void published_reader::on_answer(time_point now) {
+  if (failures_ > 0) {
+    state_.on_return(now);
+  }
+  failures_ = 0;
+  is_open_ = false;
+  heard_ = now;
+}
+
+void published_reader::restart(bool may_be_stale) {
+  is_listing_ = true;
+  may_be_stale_ = may_be_stale;
+  listing_.clear();
+  listing_revision_ = 0;
+  after_key_.clear();
+}
+
+}  // namespace nutmegarch::membership
--- a/nutmegarch/node/call_builder.h
+++ b/nutmegarch/node/call_builder.h
@@ -18,6 +18,10 @@
   bool may_hedge = true;
   /// Retry budget by rule; nothing for the default.
   std::optional<std::uint16_t> retry_budget;
+  /// Targets to which the call may be sent, by its route; 0 for the node's own setting.
+  std::size_t most_attempts = 0;
+  /// When the caller itself gives up. Not before `deadline`.
+  time_point caller_deadline = never;
 };
 
 /// The request id in a request's traceparent; nothing when it has none.
--- a/nutmegarch/node/control_path.cpp
+++ b/nutmegarch/node/control_path.cpp
@@ -17,8 +17,6 @@
 constexpr const char* hosts_prefix = "hosts/";
 /// Wait after a read that failed, doubled by chance.
 constexpr duration retry_delay = std::chrono::seconds(1);
-/// Time between two exchanges with peers whose incarnation is not known yet.
-constexpr duration greeting_interval = std::chrono::milliseconds(40);
 
 std::string list_rules(const std::vector<rules::rule>& rules) {
   std::string text;
@@ -32,13 +30,23 @@
 
 std::string hosts_key(const std::string& service) { return hosts_prefix + service; }
 
-control_path::control_path(node_state& state, boost::asio::io_context& workers, protocol::peer_network& peers)
+control_path::control_path(node_state& state, boost::asio::io_context& workers, protocol::peer_network& peers,
+                           std::shared_ptr<published_path> published)
     : state_(state),
       workers_(workers),
       peers_(peers),
-      configuration_(workers, *http::parse_address(state.settings.platform.address)) {}
+      configuration_(workers, *http::parse_address(state.settings.platform.address)),
+      published_(std::move(published)) {}
 
 void control_path::start() {
+  if (published_) {
+    {
+      const std::lock_guard<std::mutex> lock(state_.mutex);
+      state_.gossip.set_peers(state_.settings.gossip.seeds);
+    }
+    spread_news();
+    return;
+  }
   read(hosts_key(state_.settings.identity.service));
   for (const std::string& service : state_.settings.identity.calls) {
     read(hosts_key(service));
@@ -60,9 +68,9 @@
       if (!stranger.empty()) {
         due.push_back(stranger);
       }
-      next_greeting_ = now + greeting_interval;
+      next_greeting_ = now + state_.settings.gossip.greeting_interval;
     }
-    should_read = state_.gossip.should_read(now);
+    should_read = !published_ && state_.gossip.should_read(now);
     reads_for_all = is_reader_;
   }
   for (const std::string& address : due) {
@@ -122,6 +130,10 @@
   for (const std::string& address : asked) {
     exchange_with(address, {});
   }
+  if (published_) {
+    published_->on_pause();
+    return;
+  }
   read(rules_key);
 }
 
@@ -276,7 +288,7 @@
     return false;
   }
   const std::string service = key.substr(std::string(hosts_prefix).size());
-  state_.sender.set_endpoints(service, state_.endpoints.apply(service, list, *state_.rules.table()));
+  state_.sender.set_endpoints(service, state_.endpoints.apply(service, list, *state_.rules.table(), state_.clock.now()));
   state_.endpoints.on_report({state_.settings.identity.host, state_.incarnation, state_.leaving});
   update_peers();
   if (service == state_.settings.identity.service) {
@@ -352,6 +364,9 @@
   for (const std::string& service : state_.settings.identity.calls) {
     wanted.push_back(hosts_key(service));
   }
+  if (published_) {
+    wanted = published_path::document_keys();
+  }
   for (const std::string& key : wanted) {
     if (state_.documents.find(key) == nullptr) {
       offer.digest.push_back(membership::document_table::wanted(key));
@@ -368,7 +383,9 @@
   state_.gossip.on_heard(now);
   bool is_news = false;
   for (const membership::document& offered : from.documents) {
-    is_news = take(offered.stamp.key, offered.stamp.revision, offered.body) || is_news;
+    is_news = (published_ ? published_->take(offered)
+                          : take(offered.stamp.key, offered.stamp.revision, offered.body)) ||
+              is_news;
   }
   for (const policy::crash_mark& mark : from.marks) {
     if (state_.crashes.merge(mark, now)) {
--- a/nutmegarch/node/control_path.h
+++ b/nutmegarch/node/control_path.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "nutmegarch/node/node_state.h"
+#include "nutmegarch/node/published_path.h"
 #include "nutmegarch/platform/configuration_client.h"
 #include "nutmegarch/protocol/peer_network.h"
 
@@ -18,7 +19,9 @@
 /// peers.
 class control_path final : public std::enable_shared_from_this<control_path> {
  public:
-  control_path(node_state& state, boost::asio::io_context& workers, protocol::peer_network& peers);
+  /// `published` is null where the node reads the product's own configuration service.
+  control_path(node_state& state, boost::asio::io_context& workers, protocol::peer_network& peers,
+               std::shared_ptr<published_path> published);
 
   /// Reads what is needed to begin with.
   void start();
@@ -53,6 +56,7 @@
   boost::asio::io_context& workers_;
   protocol::peer_network& peers_;
   platform::configuration_client configuration_;
+  std::shared_ptr<published_path> published_;
 
   /// Guarded by the state's lock.
   std::set<std::string> watched_;
--- a/nutmegarch/node/inbound_path.cpp
+++ b/nutmegarch/node/inbound_path.cpp
@@ -5,6 +5,7 @@
 
 #include "nutmegarch/core/hash.h"
 #include "nutmegarch/http/address.h"
+#include "nutmegarch/node/routed_call.h"
 #include "nutmegarch/node/target_message.h"
 
 namespace nutmegarch::node {
@@ -14,12 +15,20 @@
 /// Key of a request id in look-up tables.
 std::uint64_t id_key(const request_id& id) { return hash_number(id.low, id.high); }
 
+http::client_settings connections_of(http::client_settings settings, const edge_dialect* dialect) {
+  if (dialect != nullptr) {
+    settings.echoed_field = dialect->echoed_field();
+    settings.accepts_unframed = true;
+  }
+  return settings;
+}
+
 }  // namespace
 
 inbound_path::inbound_path(node_state& state, boost::asio::io_context& workers)
     : state_(state),
       target_(workers, *http::parse_address(state.settings.target.address),
-              state.settings.target.connections) {}
+              connections_of(state.settings.target.connections, state.dialect.get())) {}
 
 std::uint64_t inbound_path::offer(protocol::peer_call call, reply answer) {
   state_.stamps.merge(call.stamp);
@@ -185,6 +194,12 @@
   if (state_.is_revalidating(now)) {
     return refuse(call_reason::revalidating);
   }
+  if (!context.instance.empty()) {
+    auto published = state_.local_instances.find(context.instance);
+    if (published != state_.local_instances.end() && published->second) {
+      return refuse(call_reason::leaving);
+    }
+  }
   const rules::rule* const quarantine = table->find_quarantine(context.fingerprint);
   if (quarantine != nullptr) {
     protocol::peer_answer content = refuse(call_reason::quarantined);
@@ -310,7 +325,8 @@
       return;
     }
     const time_point now = state_.clock.now();
-    request = to_target(*found->second.request, *call, now);
+    request = state_.dialect ? to_routed_target(*state_.dialect, *found->second.request, *call, now)
+                             : to_target(*found->second.request, *call, now);
     patience = call->deadline == never ? state_.settings.calls.longest_timeout : call->deadline - now;
     state_.events.add(observe::event_kind::call_started, call->context.id, call->context.route, "");
   }
@@ -345,7 +361,9 @@
     }
     const time_point now = state_.clock.now();
     target_answer answered =
-        interpret(std::move(outcome), found->second.call->context.idempotent, found->second.is_cancelled);
+        state_.dialect ? interpret_routed(*state_.dialect, std::move(outcome), found->second.is_cancelled)
+                       : interpret(std::move(outcome), found->second.call->context.idempotent,
+                                   found->second.is_cancelled);
     protocol::peer_answer& content = answered.content;
     settle_order(found->second, content, now);
 
--- a/nutmegarch/node/node.cpp
+++ b/nutmegarch/node/node.cpp
@@ -7,28 +7,32 @@
 
 namespace {
 
-/// Time between two ticks while calls are open, and while none is.
-constexpr duration busy_tick = std::chrono::milliseconds(2);
-constexpr duration idle_tick = std::chrono::milliseconds(20);
 /// Requests on connections that were taken last come within this time.
 constexpr duration last_requests = std::chrono::milliseconds(300);
 
 }  // namespace
 
-node::node(const node_settings& settings, std::uint64_t incarnation, std::uint64_t seed)
-    : state_(settings, incarnation, seed),
+node::node(const node_settings& settings, std::uint64_t incarnation, std::uint64_t seed,
+           const std::optional<platform_adapter>& adapter)
+    : state_(settings, adapter ? adapter->dialect : nullptr, incarnation, seed),
       pool_io_(settings.identity.workers),
       work_(pool_io_.get_executor()),
       workers_(settings.identity.workers == 1 ? network_io_ : pool_io_),
       peers_(network_io_, settings.peers),
       inbound_(std::make_shared<inbound_path>(state_, workers_)),
       outbound_(std::make_shared<outbound_path>(state_, inbound_, peers_)),
-      control_(std::make_shared<control_path>(state_, workers_, peers_)),
+      published_(adapter ? std::make_shared<published_path>(state_, adapter->make_source(workers_)) : nullptr),
+      control_(std::make_shared<control_path>(state_, workers_, peers_, published_)),
       admin_(state_, *inbound_, *outbound_),
       callers_server_(workers_, settings.callers, *outbound_),
       admin_server_(workers_, {}, admin_),
+      readiness_(state_),
+      ready_server_(workers_, {}, readiness_),
       timer_(workers_) {
   inbound_->set_crash_listener([this]() { control_->spread_news(); });
+  if (published_) {
+    published_->set_listener([this]() { apply_limits(); });
+  }
 }
 
 node::~node() {
@@ -48,6 +52,9 @@
   if (!admin_server_.start(listen.admin)) {
     return "can't listen for administration on " + listen.admin;
   }
+  if (!listen.ready.empty() && !ready_server_.start(listen.ready)) {
+    return "can't listen for readiness on " + listen.ready;
+  }
   {
     const std::lock_guard<std::mutex> lock(state_.mutex);
     state_.revalidating_until = state_.clock.now() + state_.settings.lifecycle.revalidation;
@@ -113,13 +120,25 @@
   return control_->on_exchange(offer);
 }
 
+void node::apply_limits() {
+  routes::request_limits limits;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    if (!state_.routes) {
+      return;
+    }
+    limits = state_.routes->limits();
+  }
+  callers_server_.set_limits(limits.most_head_bytes, limits.most_body_bytes, limits.idle_timeout);
+}
+
 void node::schedule_tick() {
   bool is_busy = false;
   {
     const std::lock_guard<std::mutex> lock(state_.mutex);
     is_busy = inbound_->size() + outbound_->size() > 0;
   }
-  timer_.expires_after(is_busy ? busy_tick : idle_tick);
+  timer_.expires_after(is_busy ? state_.settings.lifecycle.busy_tick : state_.settings.lifecycle.idle_tick);
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
       tick();
@@ -138,6 +157,9 @@
   inbound_->on_time();
   outbound_->on_time();
   control_->on_time();
+  if (published_) {
+    published_->on_time();
+  }
   step_leaving(now);
   if (!finished_) {
     schedule_tick();
@@ -184,6 +206,7 @@
       accept_ended_ = now;
       callers_server_.stop();
       admin_server_.stop();
+      ready_server_.stop();
     }
     return;
   }
--- a/nutmegarch/node/node.h
+++ b/nutmegarch/node/node.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -10,14 +12,24 @@
 
 #include "nutmegarch/node/admin_api.h"
 #include "nutmegarch/node/control_path.h"
+#include "nutmegarch/node/readiness_api.h"
 
 namespace nutmegarch::node {
 
+/// What a node needs to run on a platform. Made by the platform's adapter.
+struct platform_adapter {
+  std::shared_ptr<const edge_dialect> dialect;
+  /// Makes the reader of the platform's store; its callbacks run on the given workers.
+  std::function<std::unique_ptr<membership::published_source>(boost::asio::io_context& workers)> make_source;
+};
+
 /// One node: its tables, its edges, its peers, and the timer that lets time pass. Many fit in one process.
 class node final : public protocol::peer_service {
  public:
   /// `incarnation` must be new for every start.
-  node(const node_settings& settings, std::uint64_t incarnation, std::uint64_t seed);
+  /// Without an adapter, the edges and the configuration service speak the product's own dialect.
+  node(const node_settings& settings, std::uint64_t incarnation, std::uint64_t seed,
+       const std::optional<platform_adapter>& adapter = std::nullopt);
   ~node() override;
 
   /// Listens and begins to serve. Returns what went wrong; empty when all is well.
@@ -33,6 +45,7 @@
   protocol::peer_exchange on_exchange(protocol::peer_exchange offer) override;
 
  private:
+  void apply_limits();
   void schedule_tick();
   void tick();
   void on_pause(duration length);
@@ -49,10 +62,14 @@
   protocol::peer_network peers_;
   std::shared_ptr<inbound_path> inbound_;
   std::shared_ptr<outbound_path> outbound_;
+  /// Null where the node reads the product's own configuration service.
+  std::shared_ptr<published_path> published_;
   std::shared_ptr<control_path> control_;
   admin_api admin_;
   http::server callers_server_;
   http::server admin_server_;
+  readiness_api readiness_;
+  http::server ready_server_;
   boost::asio::steady_timer timer_;
   std::vector<std::thread> threads_;
 
--- a/nutmegarch/node/node_settings.cpp
+++ b/nutmegarch/node/node_settings.cpp
@@ -21,6 +21,8 @@
   reader.read_address("/listen/callers", to.listen.callers, true);
   reader.read_address("/listen/peers", to.listen.peers, true);
   reader.read_address("/listen/admin", to.listen.admin, true);
+  reader.read_address("/listen/ready", to.listen.ready);
+  reader.read_text_map("/regions", to.regions);
 }
 
 void read_edges(settings::json_reader& reader, node_settings& to) {
@@ -34,9 +36,18 @@
   reader.read_integer("/callers/most_head_bytes", to.callers.most_head_bytes, 1'024, 1 << 20);
   reader.read_integer("/callers/most_connections", to.callers.most_connections, 1, 100'000);
   reader.read_duration("/callers/idle_timeout", to.callers.idle_timeout, seconds(1), hours(1));
+  reader.read_duration("/callers/stopping_idle_timeout", to.callers.stopping_idle_timeout, milliseconds(1), hours(1));
   reader.read_duration("/calls/timeout", to.calls.timeout, milliseconds(1), minutes(10));
   reader.read_duration("/calls/longest_timeout", to.calls.longest_timeout, milliseconds(1), hours(1));
   reader.read_address("/platform/address", to.platform.address, true);
+  reader.read_text("/platform/dialect", to.platform.dialect);
+  reader.read_duration("/store/watch", to.store.watch, milliseconds(100), seconds(30));
+  reader.read_duration("/store/gather", to.store.gather, milliseconds(0), seconds(10));
+  reader.read_duration("/store/first_pause", to.store.first_pause, milliseconds(10), minutes(1));
+  reader.read_duration("/store/longest_pause", to.store.longest_pause, milliseconds(10), minutes(1));
+  reader.read_duration("/store/lapse_grace", to.published.lapse_grace, milliseconds(0), minutes(1));
+  reader.read_number("/fleet_retries/ratio", to.fleet_retries.ratio, 0, 1);
+  reader.read_number("/fleet_retries/slack", to.fleet_retries.slack, 0, 1e6);
   reader.read_integer("/platform/readers_per_service", to.platform.readers_per_service, 1, 100);
   reader.read_duration("/platform/watch", to.platform.watch, seconds(1), minutes(5));
 }
@@ -66,7 +77,9 @@
   reader.read_choice<policy::routing_kind>("/routing/choice", to.routing,
                                            {{"round_robin", policy::routing_kind::round_robin},
                                             {"two_choices", policy::routing_kind::two_choices},
-                                            {"least_loaded", policy::routing_kind::least_loaded}});
+                                            {"least_loaded", policy::routing_kind::least_loaded},
+                                            {"least_time", policy::routing_kind::least_time}});
+  reader.read_flag("/routing/compares_regions", to.score.compares_regions);
   reader.read_integer("/routing/retry_budget", to.retry_budget, 0, 100);
   reader.read_integer("/routing/most_attempts", to.most_attempts, 1, 10);
   reader.read_number("/routing/retries_per_success", to.retries.per_success, 0, 1);
@@ -94,6 +107,8 @@
   reader.read_duration("/crashes/lifetime", to.crashes.lifetime, seconds(1), hours(24));
   reader.read_duration("/gossip/interval", to.gossip.interval, milliseconds(10), minutes(1));
   reader.read_integer("/gossip/fan_out", to.gossip.fan_out, 1, 100);
+  reader.read_duration("/gossip/greeting_interval", to.gossip.greeting_interval, milliseconds(1), minutes(1));
+  reader.read_texts("/gossip/seeds", to.gossip.seeds);
   reader.read_duration("/gossip/silence", to.gossip.silence, seconds(1), hours(1));
   reader.read_duration("/peers/connect_timeout", to.peers.connect_timeout, milliseconds(1), minutes(1));
   reader.read_duration("/peers/ping_after", to.peers.ping_after, milliseconds(10), minutes(1));
@@ -101,6 +116,8 @@
   reader.read_duration("/peers/idle_timeout", to.peers.idle_timeout, seconds(1), hours(1));
   reader.read_duration("/lifecycle/leave_grace", to.lifecycle.leave_grace, milliseconds(0), minutes(10));
   reader.read_duration("/lifecycle/longest_leave", to.lifecycle.longest_leave, milliseconds(0), hours(1));
+  reader.read_duration("/lifecycle/busy_tick", to.lifecycle.busy_tick, milliseconds(1), seconds(1));
+  reader.read_duration("/lifecycle/idle_tick", to.lifecycle.idle_tick, milliseconds(1), seconds(1));
   reader.read_duration("/lifecycle/pause_bound", to.lifecycle.pause_bound, milliseconds(100), minutes(1));
   reader.read_duration("/lifecycle/revalidation", to.lifecycle.revalidation, milliseconds(10), minutes(1));
   reader.read_integer("/lifecycle/timeline_events", to.lifecycle.timeline_events, 16, 1'000'000);
--- a/nutmegarch/node/node_settings.h
+++ b/nutmegarch/node/node_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -7,6 +8,7 @@
 #include "nutmegarch/http/client_pool.h"
 #include "nutmegarch/http/server.h"
 #include "nutmegarch/membership/gossip_schedule.h"
+#include "nutmegarch/membership/published_reader.h"
 #include "nutmegarch/observe/log.h"
 #include "nutmegarch/policy/crash_registry.h"
 #include "nutmegarch/policy/order_registry.h"
@@ -35,6 +37,8 @@
   std::string callers;
   std::string peers;
   std::string admin;
+  /// Where the platform asks whether the node is ready; empty when it does not.
+  std::string ready;
 };
 
 /// The target beside the node.
@@ -46,6 +50,8 @@
 /// The platform's configuration service.
 struct platform_settings {
   std::string address;
+  /// Name of the dialect that the HTTP edges and the store speak; empty for the product's own.
+  std::string dialect;
   /// Nodes of one service that watch the configuration service for all of them.
   int readers_per_service = 3;
   /// How long a watch waits for news.
@@ -72,6 +78,17 @@
   duration revalidation = std::chrono::seconds(2);
   /// Events that the time line keeps.
   std::size_t timeline_events = 8192;
+  /// Time between two looks at what is due, while calls are open and while none is.
+  duration busy_tick = std::chrono::milliseconds(2);
+  duration idle_tick = std::chrono::milliseconds(20);
+};
+
+/// Extra arrivals at a service that the whole fleet may cause.
+struct fleet_retry_settings {
+  /// As a share of the calls for the service; 0 for the budget of `routing`.
+  double ratio = 0;
+  /// On top of the ratio, over a window.
+  double slack = 0;
 };
 
 /// All settings of a node, with their defaults. docs/SETTINGS.md lists them.
@@ -89,6 +106,11 @@
   policy::crash_settings crashes;
   membership::gossip_settings gossip;
   protocol::peer_network_settings peers;
+  membership::published_state_settings published;
+  membership::published_reader_settings store;
+  fleet_retry_settings fleet_retries;
+  /// Region of each failure domain.
+  std::map<std::string, std::string> regions;
   observe::log_settings log;
   /// Baseline: round robin, no shedding, no retries of the node's own.
   bool pass_through = false;
--- a/nutmegarch/node/node_state.h
+++ b/nutmegarch/node/node_state.h
@@ -2,16 +2,20 @@
 
 #include <atomic>
 #include <map>
+#include <memory>
 #include <mutex>
 
 #include "nutmegarch/membership/document_table.h"
 #include "nutmegarch/membership/endpoint_table.h"
 #include "nutmegarch/membership/gossip_schedule.h"
+#include "nutmegarch/node/edge_dialect.h"
 #include "nutmegarch/node/node_settings.h"
 #include "nutmegarch/observe/metrics.h"
 #include "nutmegarch/observe/timeline.h"
 #include "nutmegarch/policy/downstream_levels.h"
 #include "nutmegarch/policy/rule_gate.h"
+#include "nutmegarch/routes/route_table.h"
+#include "nutmegarch/routes/split_choice.h"
 #include "nutmegarch/rules/rules_in_force.h"
 
 namespace nutmegarch::node {
@@ -21,11 +25,14 @@
 /// Lock order: `mutex` first; then the locks inside metrics, timeline, peer_network and client_pool, which
 /// are never held together. No callback and no I/O runs while `mutex` is held.
 struct node_state {
-  node_state(const node_settings& all, std::uint64_t own_incarnation, std::uint64_t seed);
+  /// `spoken` is the dialect of the HTTP edges; null for the product's own.
+  node_state(const node_settings& all, std::shared_ptr<const edge_dialect> spoken,
+             std::uint64_t own_incarnation, std::uint64_t seed);
   node_state(const node_state&) = delete;
   node_state& operator=(const node_state&) = delete;
 
   const node_settings settings;
+  const std::shared_ptr<const edge_dialect> dialect;
   const std::uint64_t incarnation;
   system_time_source clock;
   observe::hybrid_clock stamps;
@@ -45,6 +52,11 @@
   membership::document_table documents;
   membership::endpoint_table endpoints;
   membership::gossip_schedule gossip;
+  /// The operator's routes; null without a platform that publishes them, and before the first was read.
+  std::shared_ptr<const routes::route_table> routes;
+  routes::split_choice splits;
+  /// Published processes of the target beside this node; true for those that leave or have left.
+  std::map<std::string, bool> local_instances;
   /// Calls that each rule touched since it is in force, by line.
   std::map<int, std::uint64_t> touched;
   /// Until this moment the view may be old, and calls are refused.
--- a/nutmegarch/node/outbound_path.cpp
+++ b/nutmegarch/node/outbound_path.cpp
@@ -5,6 +5,7 @@
 #include "nutmegarch/core/hash.h"
 #include "nutmegarch/http/problem.h"
 #include "nutmegarch/node/header_names.h"
+#include "nutmegarch/node/routed_call.h"
 
 namespace nutmegarch::node {
 
@@ -12,11 +13,16 @@
 
 /// Bytes of a message for the budget of the link; heads and framing are about this large.
 constexpr std::size_t head_bytes = 400;
+/// When callers may come back before the first configuration is read.
+constexpr duration configuration_wait = std::chrono::milliseconds(500);
+/// Longest time after which a refused caller is to come back.
+constexpr duration longest_come_back = std::chrono::milliseconds(1500);
 
 policy::attempt_answer lost_answer(protocol::peer_error error) {
   policy::attempt_answer answer;
   const bool is_unwritten = error == protocol::peer_error::unreachable;
   answer.outcome = is_unwritten ? call_outcome::not_run : call_outcome::unknown;
+  answer.reached_target = !is_unwritten;
   answer.reason = is_unwritten ? call_reason::no_target : call_reason::connection_lost;
   return answer;
 }
@@ -29,6 +35,7 @@
   answer.report = from.report;
   answer.route_level = from.route_level;
   answer.calls_on = from.calls_on;
+  answer.reached_target = from.reached_target;
   return answer;
 }
 
@@ -45,6 +52,10 @@
   pending.request = std::make_shared<const request_message>(std::move(request));
   pending.answer = std::move(answer);
   built_call& built = pending.built;
+  if (state_.dialect) {
+    start_routed(std::move(pending));
+    return;
+  }
   bool needs_ticket = false;
   {
     const std::lock_guard<std::mutex> lock(state_.mutex);
@@ -103,6 +114,32 @@
   return calls_.empty();
 }
 
+void outbound_path::start_routed(pending_call pending) {
+  call_reason refused = call_reason::none;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    std::variant<built_call, call_reason> built =
+        build_routed_call(state_, *state_.dialect, *pending.request, state_.clock.now());
+    if (std::holds_alternative<built_call>(built)) {
+      pending.built = std::get<built_call>(std::move(built));
+    } else {
+      refused = std::get<call_reason>(built);
+      state_.counts.on_outbound(call_class::browse, call_outcome::not_run, refused, duration{});
+    }
+  }
+  if (refused != call_reason::none) {
+    pending.answer(make_routed_refusal(call_outcome::not_run, refused, configuration_wait));
+    return;
+  }
+  start_call(std::move(pending));
+}
+
+duration outbound_path::come_back_after(const policy::outbound_call& call, time_point now) {
+  const duration left = call.caller_deadline == never ? longest_come_back : call.caller_deadline - now;
+  const duration most = std::min(longest_come_back, left / 3);
+  return from_seconds(seconds(std::max(most, duration{})) * (0.4 + 0.6 * state_.random.unit()));
+}
+
 void outbound_path::start_call(pending_call pending) {
   policy::sender_actions actions;
   {
@@ -112,6 +149,8 @@
     call->deadline = pending.built.deadline;
     call->size = pending.request->body.size() + head_bytes;
     call->may_hedge = pending.built.may_hedge;
+    call->most_attempts = pending.built.most_attempts;
+    call->caller_deadline = pending.built.caller_deadline;
     if (pending.built.parent) {
       call->ledger = pending.built.parent->ledger;
     } else if (pending.built.retry_budget) {
@@ -282,12 +321,20 @@
   if (is_from_target && content != ended.answers.end()) {
     message = std::move(content->second.message);
   } else {
-    message = http::make_problem(action.outcome, action.reason, ended.last_rule);
+    if (state_.dialect) {
+      const std::lock_guard<std::mutex> lock(state_.mutex);
+      message = make_routed_refusal(action.outcome, action.reason,
+                                    come_back_after(*action.call, state_.clock.now()));
+    } else {
+      message = http::make_problem(action.outcome, action.reason, ended.last_rule);
+    }
     if (action.attempt == 0 && action.call->attempts.empty()) {
       state_.events.add(observe::event_kind::call_shed, context.id, context.service, name_of(action.reason));
     }
   }
-  set_header(message.fields, header_names::outcome, name_of(action.outcome));
+  if (!state_.dialect) {
+    set_header(message.fields, header_names::outcome, name_of(action.outcome));
+  }
   state_.counts.on_outbound(context.cls, action.outcome, action.reason,
                             state_.clock.now() - action.call->started);
   ended.answer(std::move(message));
--- a/nutmegarch/node/outbound_path.h
+++ b/nutmegarch/node/outbound_path.h
@@ -58,6 +58,11 @@
   };
 
   void start_call(pending_call pending);
+  /// Starts a call by the published routes, or refuses it.
+  void start_routed(pending_call pending);
+  /// When the caller of a refused call may ask again. Spread, so that callers do not return together. Holds
+  /// the state's lock.
+  duration come_back_after(const policy::outbound_call& call, time_point now);
   void fetch_ticket(pending_call pending);
   /// `home` is the host that was asked for the ticket.
   void on_ticket(pending_call pending, const std::string& home, const protocol::peer_answer& content);
--- /dev/null
+++ b/nutmegarch/node/published_path.cpp
@@ -0,0 +1,308 @@
+#include "nutmegarch/node/published_path.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/json.hpp>
+
+#include "nutmegarch/core/hash.h"
+#include "nutmegarch/observe/log.h"
+
+namespace nutmegarch::node {
+
+namespace {
+
+constexpr const char* hosts_document = "published-hosts";
+constexpr const char* configuration_document = "published-configuration";
+/// Most unreadable entries that are remembered as logged.
+constexpr std::size_t most_unreadable = 1024;
+
+std::string host_part(const std::string& address) { return address.substr(0, address.rfind(':')); }
+
+std::string port_part(const std::string& address) { return address.substr(address.rfind(':') + 1); }
+
+std::string write_items(const std::map<std::string, membership::published_item>& items) {
+  boost::json::array list;
+  for (const std::pair<const std::string, membership::published_item>& entry : items) {
+    list.push_back({entry.second.key, entry.second.revision, entry.second.value});
+  }
+  return boost::json::serialize(list);
+}
+
+/// The items of a peer's document; empty when it can't be read.
+std::vector<membership::published_item> parse_items(const std::string& body) {
+  boost::system::error_code error;
+  const boost::json::value root = boost::json::parse(body, error);
+  std::vector<membership::published_item> items;
+  if (error || !root.is_array()) {
+    return items;
+  }
+  for (const boost::json::value& entry : root.get_array()) {
+    if (!entry.is_array() || entry.get_array().size() != 3) {
+      return {};
+    }
+    const boost::json::array& parts = entry.get_array();
+    if (!parts.at(0).is_string() || !parts.at(1).is_number() || !parts.at(2).is_string()) {
+      return {};
+    }
+    items.push_back({std::string(parts.at(0).get_string()), std::string(parts.at(2).get_string()),
+                     parts.at(1).to_number<std::uint64_t>(), false});
+  }
+  return items;
+}
+
+}  // namespace
+
+published_path::published_path(node_state& state, std::unique_ptr<membership::published_source> source)
+    : state_(state),
+      source_(std::move(source)),
+      held_(state.settings.published),
+      reader_(state.settings.store, held_, state.random),
+      peers_port_(port_part(state.settings.listen.peers)) {}
+
+const std::vector<std::string>& published_path::document_keys() {
+  static const std::vector<std::string> keys = {hosts_document, configuration_document};
+  return keys;
+}
+
+void published_path::on_time() {
+  membership::store_request request;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    const time_point now = state_.clock.now();
+    if (held_.on_time(now)) {
+      apply_hosts("grace-over");
+    }
+    request = reader_.next(now);
+  }
+  if (request.what == membership::store_request::kind::none) {
+    return;
+  }
+  state_.counts.add("store_calls");
+  source_->send(request, [self = shared_from_this(), request](
+                             const result<membership::store_answer, membership::store_error>& outcome) {
+    self->on_answer(request, outcome);
+  });
+}
+
+void published_path::on_pause() {
+  source_->drop_connections();
+  const std::lock_guard<std::mutex> lock(state_.mutex);
+  reader_.on_pause();
+}
+
+void published_path::on_answer(const membership::store_request& asked,
+                               const result<membership::store_answer, membership::store_error>& outcome) {
+  bool is_news = false;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    const time_point now = state_.clock.now();
+    if (!reader_.is_open()) {
+      return;
+    }
+    if (succeeded(outcome)) {
+      const membership::store_answer& answer = std::get<membership::store_answer>(outcome);
+      std::vector<membership::published_item> items = answer.items;
+      state_.gossip.on_heard(now);
+      is_news = take_configuration_of(items);
+      const bool is_page = asked.what == membership::store_request::kind::read_page;
+      const bool changed = is_page ? reader_.on_page(items, answer.next_key, answer.revision, now)
+                                   : reader_.on_changes(items, answer.revision, now);
+      if (changed) {
+        apply_hosts("store");
+        is_news = true;
+      } else {
+        export_hosts();
+      }
+      state_.revalidating_until = time_point{};
+    } else if (std::get<membership::store_error>(outcome) == membership::store_error::history_lost) {
+      reader_.on_history_lost(now);
+      observe::log_event(observe::log_level::info, "store-history-lost",
+                         {{"revision", std::to_string(asked.revision)}});
+    } else {
+      reader_.on_failure(now);
+      state_.counts.add("store_failures");
+    }
+    const bool is_reachable = reader_.failures() == 0;
+    if (is_reachable != was_reachable_) {
+      was_reachable_ = is_reachable;
+      observe::log_event(observe::log_level::warning, is_reachable ? "store-regained" : "store-lost",
+                         {{"revision", std::to_string(held_.revision())}});
+    }
+  }
+  if (is_news && listener_) {
+    listener_();
+  }
+}
+
+bool published_path::take(const membership::document& offered) {
+  if (offered.stamp.key == configuration_document) {
+    return take_configuration(offered.body, offered.stamp.revision, "peer");
+  }
+  const std::vector<membership::published_item> items = parse_items(offered.body);
+  if (items.empty() || !held_.merge(items, offered.stamp.revision, state_.clock.now())) {
+    return false;
+  }
+  apply_hosts("peer");
+  return true;
+}
+
+bool published_path::take_configuration_of(std::vector<membership::published_item>& items) {
+  bool is_news = false;
+  for (const membership::published_item& item : items) {
+    if (source_->is_configuration(item.key) && !item.is_removed) {
+      is_news = take_configuration(item.value, item.revision, "store") || is_news;
+    }
+  }
+  items.erase(std::remove_if(items.begin(), items.end(),
+                             [this](const membership::published_item& item) {
+                               return source_->is_configuration(item.key);
+                             }),
+              items.end());
+  return is_news;
+}
+
+bool published_path::take_configuration(const std::string& value, std::uint64_t revision,
+                                        const std::string& from) {
+  const result<routes::route_configuration, membership::published_value_error> read =
+      source_->read_configuration(value);
+  if (!succeeded(read)) {
+    observe::log_event(observe::log_level::warning, "configuration-refused",
+                       {{"from", from},
+                        {"revision", std::to_string(revision)},
+                        {"error", std::get<membership::published_value_error>(read).message}});
+    return false;
+  }
+  const routes::route_configuration& configuration = std::get<routes::route_configuration>(read);
+  const std::uint64_t in_force = state_.routes ? state_.routes->version() : 0;
+  if (state_.routes && configuration.version <= in_force) {
+    return false;
+  }
+  state_.routes = std::make_shared<const routes::route_table>(configuration);
+  state_.documents.merge(
+      {{configuration_document, configuration.version, revision, hash_text(value)}, value});
+  observe::log_event(observe::log_level::info, "configuration-in-force",
+                     {{"version", std::to_string(configuration.version)},
+                      {"replaces", std::to_string(in_force)},
+                      {"revision", std::to_string(revision)},
+                      {"routes", std::to_string(state_.routes->size())},
+                      {"from", from}});
+  return true;
+}
+
+std::vector<membership::published_host> published_path::read_hosts() {
+  std::vector<membership::published_host> hosts;
+  std::map<std::string, membership::published_host> newest;
+  for (const std::pair<const std::string, membership::published_item>& entry : held_.items()) {
+    const membership::published_item& item = entry.second;
+    result<membership::published_host, membership::published_value_error> read = source_->read_host(item);
+    if (!succeeded(read)) {
+      if (unreadable_.size() < most_unreadable && unreadable_[item.key] != item.revision) {
+        unreadable_[item.key] = item.revision;
+        observe::log_event(observe::log_level::warning, "entry-unreadable",
+                           {{"key", item.key},
+                            {"revision", std::to_string(item.revision)},
+                            {"error", std::get<membership::published_value_error>(read).message}});
+      }
+      continue;
+    }
+    membership::published_host host = std::get<membership::published_host>(std::move(read));
+    // A late report of an earlier process with the same name tells nothing of the present one.
+    auto known = newest_.find(host.instance);
+    if (known != newest_.end() && host.born < known->second.born) {
+      host = known->second;
+    }
+    auto region = state_.settings.regions.find(host.domain);
+    host.region = region == state_.settings.regions.end() ? std::string() : region->second;
+    host.host = host_part(host.address);
+    host.peers = host.host + ':' + peers_port_;
+    newest[host.instance] = host;
+    hosts.push_back(std::move(host));
+  }
+  newest_ = std::move(newest);
+  return hosts;
+}
+
+void published_path::apply_hosts(const std::string& from) {
+  const std::vector<membership::published_host> hosts = read_hosts();
+
+  // Services without a target keep an empty list.
+  std::map<std::string, membership::host_list> by_service;
+  for (const std::string& service : services_) {
+    by_service[service];
+  }
+  std::set<std::string> addresses(state_.settings.gossip.seeds.begin(), state_.settings.gossip.seeds.end());
+  for (const membership::published_host& host : hosts) {
+    services_.insert(host.service);
+    by_service[host.service].hosts.push_back(host);
+    addresses.insert(host.peers);
+  }
+  const time_point now = state_.clock.now();
+  for (const std::pair<const std::string, membership::host_list>& service : by_service) {
+    state_.sender.set_endpoints(
+        service.first, state_.endpoints.apply(service.first, service.second, *state_.rules.table(), now));
+  }
+  addresses.erase(state_.settings.listen.peers);
+  state_.gossip.set_peers({addresses.begin(), addresses.end()});
+  state_.endpoints.on_report({state_.settings.identity.host, state_.incarnation, state_.leaving});
+  apply_own_target(hosts);
+  export_hosts();
+
+  // Say what has changed.
+  std::map<std::string, bool> leaving;
+  for (const membership::published_host& host : hosts) {
+    leaving[host.instance] = host.leaving;
+    auto before = leaving_by_instance_.find(host.instance);
+    if (before == leaving_by_instance_.end() || before->second != host.leaving) {
+      observe::log_event(observe::log_level::info, host.leaving ? "target-leaving" : "target-listed",
+                         {{"instance", host.instance},
+                          {"service", host.service},
+                          {"address", host.address},
+                          {"domain", host.domain},
+                          {"revision", std::to_string(held_.revision())},
+                          {"from", from}});
+    }
+  }
+  for (const std::pair<const std::string, bool>& before : leaving_by_instance_) {
+    if (leaving.count(before.first) == 0) {
+      observe::log_event(
+          observe::log_level::info, "target-gone",
+          {{"instance", before.first}, {"revision", std::to_string(held_.revision())}, {"from", from}});
+    }
+  }
+  leaving_by_instance_ = std::move(leaving);
+}
+
+void published_path::apply_own_target(const std::vector<membership::published_host>& hosts) {
+  for (const membership::published_host& host : hosts) {
+    if (host.address != state_.settings.target.address) {
+      continue;
+    }
+    state_.local_instances[host.instance] = host.leaving;
+    if (!host.leaving) {
+      state_.receiver.set_slots(host.slots);
+    }
+  }
+  // A process that was listed before and is not any more has left.
+  for (std::pair<const std::string, bool>& known : state_.local_instances) {
+    const bool is_listed =
+        std::any_of(hosts.begin(), hosts.end(), [&](const membership::published_host& host) {
+          return host.instance == known.first && host.address == state_.settings.target.address;
+        });
+    known.second = known.second || !is_listed;
+  }
+}
+
+void published_path::export_hosts() {
+  if (held_.revision() == 0) {
+    return;
+  }
+  const membership::document* const exported = state_.documents.find(hosts_document);
+  if (exported != nullptr && exported->stamp.revision == held_.revision()) {
+    return;
+  }
+  std::string body = write_items(held_.items());
+  state_.documents.merge({{hosts_document, 0, held_.revision(), hash_text(body)}, std::move(body)});
+}
+
+}  // namespace nutmegarch::node
--- /dev/null
+++ b/nutmegarch/node/readiness_api.cpp
@@ -0,0 +1,14 @@
+#include "nutmegarch/node/readiness_api.h"
+
+namespace nutmegarch::node {
+
+void readiness_api::on_request(std::uint64_t, request_message, reply answer) {
+  bool is_ready = false;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    is_ready = state_.routes && !state_.leaving;
+  }
+  answer({is_ready ? 200 : 503, {}, {}});
+}
+
+}  // namespace nutmegarch::node
--- a/nutmegarch/node/target_message.h
+++ b/nutmegarch/node/target_message.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "nutmegarch/core/result.h"
 #include "nutmegarch/http/client_pool.h"
+#include "nutmegarch/node/edge_dialect.h"
 #include "nutmegarch/policy/inbound_call.h"
 #include "nutmegarch/policy/receiver.h"
 #include "nutmegarch/protocol/peer_messages.h"
@@ -16,6 +18,8 @@
 struct target_answer {
   protocol::peer_answer content;
   policy::target_result result = policy::target_result::answered;
+  /// Load that the target reported with the answer.
+  std::optional<target_load> load;
 };
 
 /// An answer without a message, for a call that no target has answered.
--- a/nutmegarch/policy/endpoint.h
+++ b/nutmegarch/policy/endpoint.h
@@ -17,6 +17,8 @@
   /// @name As published
   /// @{
   std::string host;
+  /// Name of the target process, where the platform tells it; a new process is a new endpoint.
+  std::string instance;
   std::string service;
   std::string domain;
   std::string region;
@@ -30,6 +32,8 @@
   /// Load by the platform's late report.
   double published_load = 0;
   bool published_leaving = false;
+  /// Start of the target process on the platform's clock; 0 when unknown.
+  std::int64_t born = 0;
   /// @}
 
   /// @name As seen in traffic
@@ -38,11 +42,17 @@
   bool said_leaving = false;
   int outstanding = 0;
   double carried_load = 0;
+  /// Own calls that were open when the carried load came.
+  int outstanding_at_report = 0;
+  /// Latency of its answers over the median of their routes, smoothed.
+  double slowness = 1;
   time_point carried_at{};
   admission_level level;
   time_point level_expires{};
   /// When it was first used; the start of its slow start.
   time_point joined{};
+  /// The target is slow until then, since it has just started.
+  time_point cold_until{};
   /// Since when an answer is due: the last answer, or the first call after idle time.
   time_point awaiting_since{};
   int consecutive_losses = 0;
--- a/nutmegarch/policy/outbound_call.h
+++ b/nutmegarch/policy/outbound_call.h
@@ -28,11 +28,17 @@
   /// The ledger that pays for extra attempts. Set by the adapter for the child of an inbound call.
   retry_ledger_ptr ledger;
   bool may_hedge = true;
+  /// Targets that the call may reach; 0 for the sender's setting.
+  std::size_t most_attempts = 0;
+  /// When the caller itself gives up; the answer is due at `deadline`, which may be earlier.
+  time_point caller_deadline = never;
 
   /// @name Kept by the sender
   /// @{
   std::vector<attempt> attempts;
   time_point started{};
+  /// Attempts that have reached a target, whatever came of them there.
+  std::size_t arrivals = 0;
   /// An attempt ended without an answer, so the call may have run.
   bool may_have_run = false;
   bool done = false;
--- a/nutmegarch/policy/receiver.cpp
+++ b/nutmegarch/policy/receiver.cpp
@@ -113,6 +113,14 @@
   start_waiting(now, actions);
 }
 
+void receiver::set_slots(int slots) {
+  if (slots == settings_.slots) {
+    return;
+  }
+  settings_.slots = slots;
+  limit_ = make_concurrency_limit(settings_.limit, slots);
+}
+
 double receiver::load() const {
   return static_cast<double>(running_ + waiting()) / static_cast<double>(std::max(1, limit_->value()));
 }
--- a/nutmegarch/policy/receiver.h
+++ b/nutmegarch/policy/receiver.h
@@ -76,6 +76,8 @@
   void cancel(const inbound_call_ptr& call, time_point now, receiver_actions& actions);
   /// Time has passed. Call it at least once in every interval of the level.
   void on_time(time_point now, receiver_actions& actions);
+  /// The target runs another number of calls at once than it did, as newly published.
+  void set_slots(int slots);
   /// The node takes no new work from now on; what waits still runs.
   void start_leaving() { leaving_ = true; }
   /// @}
--- a/nutmegarch/policy/routing_choice.cpp
+++ b/nutmegarch/policy/routing_choice.cpp
@@ -63,12 +63,54 @@
   return best;
 }
 
+double expected_time_of(const endpoint& candidate, const score_settings& settings, time_point now) {
+  // What the last answer told, corrected by what this node has sent and got back since.
+  const double slots = std::max(1, candidate.slots);
+  const bool is_fresh =
+      candidate.carried_at != time_point{} && now - candidate.carried_at < settings.carried_lifetime;
+  const double load =
+      is_fresh
+          ? candidate.carried_load + (candidate.outstanding - candidate.outstanding_at_report + 1) / slots
+          : (candidate.outstanding + 1) / slots;
+  double time = std::max(candidate.slowness, 0.1);
+  time *= 1 + settings.crowding * std::max(0.0, load - settings.crowded_load) + 0.05 * load;
+
+  // A cold endpoint gets less work than its load alone would bring it.
+  const bool is_cold = now < candidate.cold_until;
+  time *= is_cold ? settings.cold_factor : 1.0;
+  if (candidate.distance == proximity::same_region) {
+    time *= settings.domain_factor;
+  } else if (candidate.distance == proximity::other_region) {
+    time *= settings.region_factor;
+  }
+  return time / std::max(candidate.weight, 0.01);
+}
+
+endpoint* least_time_choice::choose(const std::vector<endpoint*>& candidates, time_point now,
+                                    random_source& random) {
+  const std::size_t count = candidates.size();
+  const std::size_t offset = random.below(count);
+  endpoint* best = nullptr;
+  double best_time = 0;
+  for (std::size_t i = 0; i < count; ++i) {
+    endpoint* const candidate = candidates.at((offset + i) % count);
+    const double time = expected_time_of(*candidate, settings_, now);
+    if (best == nullptr || time < best_time) {
+      best = candidate;
+      best_time = time;
+    }
+  }
+  return best;
+}
+
 std::unique_ptr<routing_choice> make_routing_choice(routing_kind kind, const score_settings& settings) {
   switch (kind) {
     case routing_kind::round_robin:
       return std::make_unique<round_robin_choice>();
     case routing_kind::two_choices:
       return std::make_unique<two_choices>(settings);
+    case routing_kind::least_time:
+      return std::make_unique<least_time_choice>(settings);
     case routing_kind::least_loaded:
       break;
   }
--- a/nutmegarch/policy/sender.cpp
+++ b/nutmegarch/policy/sender.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Nodes that are asked for one call, those that refuse it included.
+constexpr std::size_t most_sends = 6;
+
 bool was_tried(const outbound_call& call, const endpoint& candidate) {
   return std::any_of(call.attempts.begin(), call.attempts.end(),
                      [&](const attempt& tried) { return tried.to.get() == &candidate; });
@@ -86,6 +89,7 @@
   }
   close(answered);
   call->ledger->put_back(answer.tokens_back, answered.tokens_given);
+  call->arrivals += answer.reached_target ? 1 : 0;
 
   // Learn from the answer, also when it comes too late for the caller.
   service_state& service = state_of(call->context.service);
@@ -95,7 +99,7 @@
     service.note_loss(*answered.to, now);
   }
   if (answer.outcome == call_outcome::ok) {
-    service.note_success(call->context.route, now - answered.sent);
+    service.note_success(*answered.to, call->context.route, now - answered.sent);
   }
   if (call->done) {
     return;
@@ -196,7 +200,8 @@
       last_resort = known.get();
       continue;
     }
-    (known->distance == proximity::other_region ? far : near).push_back(known.get());
+    const bool is_far = known->distance == proximity::other_region && !settings_.score.compares_regions;
+    (is_far ? far : near).push_back(known.get());
   }
   if (!near.empty()) {
     return {service.choose(near, now, random_), call_reason::none};
@@ -263,6 +268,7 @@
   action.context.repeated = repeated;
   action.context.retry_tokens = made.tokens_given;
   action.context.remaining = call->deadline == never ? duration::max() : call->deadline - now;
+  action.context.instance = to.instance;
   actions.push_back(std::move(action));
 }
 
@@ -278,18 +284,23 @@
   }
   service_state& service = state_of(call->context.service);
   const selection selected = select(service, *call, now);
-  const bool paid =
-      selected.chosen != nullptr && service.retries.has_token(call->context.cls) && call->ledger->withdraw();
+  // Only a target's second arrival is paid for: a refusal by the node beside it has cost the target nothing.
+  const bool is_free = call->arrivals == 0;
+  const bool paid = selected.chosen != nullptr &&
+                    (is_free || (service.retries.has_token(call->context.cls) && call->ledger->withdraw()));
   if (!paid) {
     complete(call, known, call->last_refusal, 0, now, actions);
     return;
   }
-  service.retries.withdraw(call->context.cls);
+  if (!is_free) {
+    service.retries.withdraw(call->context.cls);
+  }
   send(call, *selected.chosen, call->context.repeated || call->may_have_run, false, now, actions);
 }
 
 bool sender::may_retry(const outbound_call& call, call_outcome outcome) const {
-  if (settings_.pass_through || call.attempts.size() >= settings_.most_attempts) {
+  const std::size_t most = call.most_attempts == 0 ? settings_.most_attempts : call.most_attempts;
+  if (settings_.pass_through || call.arrivals >= most || call.attempts.size() >= most_sends) {
     return false;
   }
   // A ticket is asked for again at the same home only; its registry gives the first answer again.
--- a/nutmegarch/policy/service_state.cpp
+++ b/nutmegarch/policy/service_state.cpp
@@ -10,6 +10,11 @@
 constexpr std::size_t most_routes = 256;
 /// Latency of a route before its first answers.
 constexpr duration assumed_latency = std::chrono::milliseconds(200);
+/// Weight of one answer in the slowness of its endpoint, and the largest ratio that one answer counts for.
+constexpr double slowness_weight = 0.05;
+constexpr double most_slowness = 8;
+/// Latencies below it are taken as equal.
+constexpr duration least_latency = std::chrono::milliseconds(1);
 
 }  // namespace
 
@@ -42,6 +47,7 @@
   from.ejected_until = time_point{};
   from.carried_load = answer.report->load;
   from.carried_at = now;
+  from.outstanding_at_report = from.outstanding;
   from.level = answer.report->level;
   from.level_expires = now + settings_.level_lifetime;
   from.said_leaving = answer.report->leaving;
@@ -56,9 +62,12 @@
   }
 }
 
-void service_state::note_success(const std::string& route, duration latency) {
+void service_state::note_success(endpoint& from, const std::string& route, duration latency) {
   route_state* const known = find_or_add_route(route);
   if (known != nullptr) {
+    const double usual = seconds(known->latency.quantile(0.5, latency));
+    const double ratio = seconds(latency) / std::max(usual, seconds(least_latency));
+    from.slowness += slowness_weight * (std::min(ratio, most_slowness) - from.slowness);
     known->latency.add(latency);
   }
   retries.on_success();
--- a/nutmegarch/policy/service_state.h
+++ b/nutmegarch/policy/service_state.h
@@ -23,6 +23,8 @@
   admission_level route_level;
   /// Calls of this route make calls of their own, which may need retry tokens.
   bool calls_on = true;
+  /// The call was written to the target. A refusal by the node beside it is no arrival there.
+  bool reached_target = true;
 };
 
 /// What a sender knows of one service that it calls: its endpoints, what their answers have told, and the
@@ -50,7 +52,7 @@
   /// An answer with a report has come.
   void note_report(endpoint& from, const std::string& route, const attempt_answer& answer, time_point now);
   /// A call was answered whole after `latency`.
-  void note_success(const std::string& route, duration latency);
+  void note_success(endpoint& from, const std::string& route, duration latency);
   /// A call to the endpoint was lost.
   void note_loss(endpoint& from, time_point now);
   /// Forgets levels, loads and ejections, since they may be old.
--- a/nutmegarch/protocol/codec.cpp
+++ b/nutmegarch/protocol/codec.cpp
@@ -67,6 +67,8 @@
   to.setRemaining(from.remaining.count());
   to.setFingerprint(from.fingerprint);
   to.setStamp(stamp);
+  to.setAttemptId(from.attempt_id);
+  to.setInstance(from.instance);
   if (from.ticket) {
     to.setTicketIncarnation(from.ticket->incarnation);
     to.setTicketSequence(from.ticket->sequence);
@@ -77,6 +79,7 @@
   write_context(from.context, from.stamp, context);
   request.setMethod(from.request->method);
   request.setTarget(from.request->target);
+  request.setAuthority(from.request->authority);
   write_headers(from.request->fields,
                 request.initHeaders(static_cast<unsigned>(from.request->fields.size())));
   request.setBody(as_data(from.request->body));
@@ -101,6 +104,8 @@
   if (from.getTicketSequence() != 0) {
     to.ticket = order_ticket{from.getTicketIncarnation(), from.getTicketSequence()};
   }
+  to.attempt_id = text_of(from.getAttemptId());
+  to.instance = text_of(from.getInstance());
   call.stamp = from.getStamp();
   return call;
 }
@@ -110,6 +115,7 @@
   const std::shared_ptr<request_message> message = std::make_shared<request_message>();
   message->method = text_of(request.getMethod());
   message->target = text_of(request.getTarget());
+  message->authority = text_of(request.getAuthority());
   message->fields = read_headers(request.getHeaders());
   message->body = bytes_of(request.getBody());
   call.request = message;
@@ -131,13 +137,14 @@
   to.setCallsOn(from.calls_on);
   to.setTicketSequence(from.ticket ? from.ticket->sequence : 0);
   to.setRule(from.rule);
+  to.setReachedTarget(from.reached_target);
   to.setStamp(from.stamp);
 }
 
 peer_answer read(wire::Answer::Reader from) {
   peer_answer answer;
   answer.outcome = enum_of(from.getOutcome(), call_outcome::failed);
-  answer.reason = enum_of(from.getReason(), call_reason::too_large);
+  answer.reason = enum_of(from.getReason(), last_call_reason);
   answer.message.status = from.getStatus();
   answer.message.fields = read_headers(from.getHeaders());
   answer.message.body = bytes_of(from.getBody());
@@ -150,6 +157,7 @@
     answer.ticket = order_ticket{from.getIncarnation(), from.getTicketSequence()};
   }
   answer.rule = text_of(from.getRule());
+  answer.reached_target = from.getReachedTarget();
   answer.stamp = from.getStamp();
   return answer;
 }
--- a/nutmegarch/protocol/peer.capnp
+++ b/nutmegarch/protocol/peer.capnp
@@ -24,6 +24,8 @@
   ticketSequence @15 :UInt64;
   # Hybrid logical clock of the sender.
   stamp @16 :UInt64;
+  attemptId @17 :Text;
+  instance @18 :Text;
 }
 
 struct Header {
@@ -36,6 +38,7 @@
   target @1 :Text;
   headers @2 :List(Header);
   body @3 :Data;
+  authority @4 :Text;
 }
 
 struct Answer {
@@ -54,6 +57,8 @@
   ticketSequence @12 :UInt64;
   rule @13 :Text;
   stamp @14 :UInt64;
+  # The target got the call: it counts as an arrival there, whatever came of it.
+  reachedTarget @15 :Bool;
 }
 
 struct DocumentStamp {
--- a/nutmegarch/protocol/peer.capnp.h
+++ b/nutmegarch/protocol/peer.capnp.h
@@ -52,7 +52,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f9509f592e8d67d5, 8, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f9509f592e8d67d5, 8, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -82,7 +82,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(96763fd35775f1a2, 0, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(96763fd35775f1a2, 0, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -365,6 +365,12 @@
 
   inline  ::uint64_t getStamp() const;
 
+  inline bool hasAttemptId() const;
+  inline  ::capnp::Text::Reader getAttemptId() const;
+
+  inline bool hasInstance() const;
+  inline  ::capnp::Text::Reader getInstance() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -456,6 +462,20 @@
   inline  ::uint64_t getStamp();
   inline void setStamp( ::uint64_t value);
 
+  inline bool hasAttemptId();
+  inline  ::capnp::Text::Builder getAttemptId();
+  inline void setAttemptId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAttemptId(unsigned int size);
+  inline void adoptAttemptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAttemptId();
+
+  inline bool hasInstance();
+  inline  ::capnp::Text::Builder getInstance();
+  inline void setInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -602,6 +622,9 @@
   inline bool hasBody() const;
   inline  ::capnp::Data::Reader getBody() const;
 
+  inline bool hasAuthority() const;
+  inline  ::capnp::Text::Reader getAuthority() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -658,6 +681,13 @@
   inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
+  inline bool hasAuthority();
+  inline  ::capnp::Text::Builder getAuthority();
+  inline void setAuthority( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAuthority(unsigned int size);
+  inline void adoptAuthority(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAuthority();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -734,6 +764,8 @@
 
   inline  ::uint64_t getStamp() const;
 
+  inline bool getReachedTarget() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -819,6 +851,9 @@
   inline  ::uint64_t getStamp();
   inline void setStamp( ::uint64_t value);
 
+  inline bool getReachedTarget();
+  inline void setReachedTarget(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2256,6 +2291,74 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CallContext::Reader::hasAttemptId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool CallContext::Builder::hasAttemptId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CallContext::Reader::getAttemptId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CallContext::Builder::getAttemptId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void CallContext::Builder::setAttemptId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CallContext::Builder::initAttemptId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void CallContext::Builder::adoptAttemptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CallContext::Builder::disownAttemptId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool CallContext::Reader::hasInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool CallContext::Builder::hasInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CallContext::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CallContext::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void CallContext::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CallContext::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void CallContext::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CallContext::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2460,6 +2563,40 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool Request::Reader::hasAuthority() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Request::Builder::hasAuthority() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Request::Reader::getAuthority() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Request::Builder::getAuthority() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setAuthority( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Request::Builder::initAuthority(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Request::Builder::adoptAuthority(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownAuthority() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::uint8_t Answer::Reader::getOutcome() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2730,6 +2867,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Answer::Reader::getReachedTarget() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+
+inline bool Answer::Builder::getReachedTarget() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setReachedTarget(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool DocumentStamp::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/nutmegarch/protocol/peer_messages.h
+++ b/nutmegarch/protocol/peer_messages.h
@@ -33,6 +33,8 @@
   std::optional<order_ticket> ticket;
   /// Text of the rule that refused the call, with who and why; empty when none did.
   std::string rule;
+  /// The call was written to the target, whatever came of it there.
+  bool reached_target = false;
   std::uint64_t stamp = 0;
 };
 
--- /dev/null
+++ b/nutmegarch/routes/route_table.cpp
@@ -0,0 +1,56 @@
+#include "nutmegarch/routes/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace nutmegarch::routes {
+
+namespace {
+
+std::string lower_case_host(std::string_view host) {
+  std::string name(host.substr(0, host.find(':')));
+  std::transform(name.begin(), name.end(), name.begin(),
+                 [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+  return name;
+}
+
+}  // namespace
+
+route_table::route_table(route_configuration configuration) : configuration_(std::move(configuration)) {
+  for (std::size_t i = 0; i < configuration_.routes.size(); ++i) {
+    const route& known = configuration_.routes.at(i);
+    by_place_.emplace(lower_case_host(known.host) + '\n' + known.prefix, i);
+    by_name_.emplace(known.name, i);
+  }
+}
+
+const route* route_table::find(std::string_view host, std::string_view target) const {
+  std::string key = lower_case_host(host) + '\n';
+  const std::size_t host_size = key.size();
+  key += target.substr(0, target.find('?'));
+
+  // Every prefix ends with a slash: cut the path back from slash to slash.
+  std::size_t slash = key.rfind('/');
+  while (slash != std::string::npos && slash >= host_size) {
+    key.resize(slash + 1);
+    auto found = by_place_.find(key);
+    if (found != by_place_.end()) {
+      return &configuration_.routes.at(found->second);
+    }
+    slash = slash == 0 ? std::string::npos : key.rfind('/', slash - 1);
+  }
+  return nullptr;
+}
+
+const route* route_table::find_by_name(const std::string& name) const {
+  auto found = by_name_.find(name);
+  return found == by_name_.end() ? nullptr : &configuration_.routes.at(found->second);
+}
+
+const service_options* route_table::find_service(const std::string& service) const {
+  auto found = configuration_.services.find(service);
+  return found == configuration_.services.end() ? nullptr : &found->second;
+}
+
+}  // namespace nutmegarch::routes
--- a/nutmegarch/settings/json_reader.cpp
+++ b/nutmegarch/settings/json_reader.cpp
@@ -92,6 +92,27 @@
   }
 }
 
+void json_reader::read_text_map(const std::string& pointer, std::map<std::string, std::string>& to) {
+  const boost::json::value* const found = find(pointer);
+  if (found == nullptr) {
+    return;
+  }
+  if (!found->is_object()) {
+    fail(pointer, "an object of strings", *found);
+    return;
+  }
+  to.clear();
+  for (const boost::json::key_value_pair& entry : found->get_object()) {
+    const std::string key(entry.key());
+    asked_.insert(pointer + '/' + key);
+    if (!entry.value().is_string()) {
+      fail(pointer + '/' + key, "a string", entry.value());
+      return;
+    }
+    to[key] = std::string(entry.value().get_string());
+  }
+}
+
 void json_reader::read_flag(const std::string& pointer, bool& to) {
   const boost::json::value* const found = find(pointer);
   if (found == nullptr) {
--- a/nutmegarch/settings/json_reader.h
+++ b/nutmegarch/settings/json_reader.h
@@ -33,6 +33,8 @@
   /// @{
   void read_text(const std::string& pointer, std::string& to, bool required = false);
   void read_texts(const std::string& pointer, std::vector<std::string>& to);
+  /// An object whose values are strings.
+  void read_text_map(const std::string& pointer, std::map<std::string, std::string>& to);
   void read_flag(const std::string& pointer, bool& to);
   void read_number(const std::string& pointer, double& to, double least, double most);
   /// Whole numbers.
--- a/unit_tests/membership/membership_test.cpp
+++ b/unit_tests/membership/membership_test.cpp
@@ -106,11 +106,11 @@
 BOOST_AUTO_TEST_CASE(traffic_corrects_the_published_list) {
   endpoint_table table({"host-0", "domain-0", "region-0"});
   const rules::rule_table no_rules;
-  const std::vector<policy::endpoint_ptr> endpoints = table.apply("s", make_hosts(3), no_rules);
+  const std::vector<policy::endpoint_ptr> endpoints = table.apply("s", make_hosts(3), no_rules, time_point{});
   table.on_report({"host-1", 77, true});
   BOOST_TEST(endpoints.at(1)->leaving());
   // The list still calls it live; what it said itself stands.
-  table.apply("s", make_hosts(3), no_rules);
+  table.apply("s", make_hosts(3), no_rules, time_point{});
   BOOST_TEST(table.find("host-1")->leaving());
   // A new incarnation begins anew.
   table.on_report({"host-1", 78, false});
@@ -122,7 +122,7 @@
   endpoint_table table({"host-0", "domain-0", "region-0"});
   const rules::rule_table rules(std::get<rules::rule_file>(
       rules::parse_rule_file("version 1 # who: a why: b\ndrain host=host-2 # who: a why: b\n")));
-  table.apply("s", make_hosts(3), rules);
+  table.apply("s", make_hosts(3), rules, time_point{});
   BOOST_TEST(table.find("host-2")->leaving());
   table.apply_rules(rules::rule_table());
   BOOST_TEST(!table.find("host-2")->leaving());
