--- a/nutmegarch/http/server.cpp
+++ b/nutmegarch/http/server.cpp
@@ -8,8 +8,8 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/dispatch.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
@@ -84,7 +84,8 @@
   /// Closes the connection when nothing is asked on it for too long.
   void close_if_idle(std::chrono::steady_clock::time_point now, bool is_stopping) {
     const bool is_quiet = slots_.empty() && !is_writing_;
-    const duration allowed = is_stopping ? state_->settings.stopping_idle_timeout : duration(state_->idle_timeout.load());
+    const duration allowed =
+        is_stopping ? state_->settings.stopping_idle_timeout : duration(state_->idle_timeout.load());
     if (is_quiet && now - last_active_ >= allowed) {
       close();
     }
@@ -99,7 +100,11 @@
   };
 
   void read() {
-    if (is_reading_ || is_closed_ || !reads_on_ || slots_.size() >= state_->settings.most_pipelined) {
+    if (is_reading_ || is_closed_) {
+      return;
+    }
+    if (!reads_on_ || slots_.size() >= state_->settings.most_pipelined) {
+      watch_for_disconnect();
       return;
     }
     is_reading_ = true;
@@ -136,6 +141,30 @@
     read();
   }
 
+  /// While no further request is read, only this shows that the caller has gone.
+  void watch_for_disconnect() {
+    if (is_watching_ || slots_.empty()) {
+      return;
+    }
+    is_watching_ = true;
+    stream_.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](beast::error_code error) {
+      self->is_watching_ = false;
+      self->on_readable(error);
+    });
+  }
+
+  void on_readable(beast::error_code error) {
+    if (error || is_closed_ || is_reading_) {
+      return;
+    }
+    char byte = 0;
+    beast::error_code peek_error;
+    stream_.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peek_error);
+    if (peek_error && peek_error != asio::error::would_block) {
+      leave();
+    }
+  }
+
   /// Answers what could not be read, where that is of use to the caller.
   void refuse(beast::error_code error) {
     const bool is_parse_error =
@@ -235,6 +264,7 @@
   std::chrono::steady_clock::time_point last_active_;
   bool is_reading_ = false;
   bool is_writing_ = false;
+  bool is_watching_ = false;
   bool is_closed_ = false;
   /// Further requests are read from the connection.
   bool reads_on_ = true;
--- a/nutmegarch/membership/endpoint_table.cpp
+++ b/nutmegarch/membership/endpoint_table.cpp
@@ -23,7 +23,8 @@
 
 /// True for the keys of the target processes of a host.
 bool is_key_of(const std::string& key, const std::string& host) {
-  return key.compare(0, host.size(), host) == 0 && (key.size() == host.size() || key.at(host.size()) == key_separator);
+  return key.compare(0, host.size(), host) == 0 &&
+         (key.size() == host.size() || key.at(host.size()) == key_separator);
 }
 
 }  // namespace
--- a/nutmegarch/node/control_path.cpp
+++ b/nutmegarch/node/control_path.cpp
@@ -288,7 +288,8 @@
     return false;
   }
   const std::string service = key.substr(std::string(hosts_prefix).size());
-  state_.sender.set_endpoints(service, state_.endpoints.apply(service, list, *state_.rules.table(), state_.clock.now()));
+  state_.sender.set_endpoints(
+      service, state_.endpoints.apply(service, list, *state_.rules.table(), state_.clock.now()));
   state_.endpoints.on_report({state_.settings.identity.host, state_.incarnation, state_.leaving});
   update_peers();
   if (service == state_.settings.identity.service) {
--- a/nutmegarch/node/node.cpp
+++ b/nutmegarch/node/node.cpp
@@ -21,7 +21,8 @@
       peers_(network_io_, settings.peers),
       inbound_(std::make_shared<inbound_path>(state_, workers_)),
       outbound_(std::make_shared<outbound_path>(state_, inbound_, peers_)),
-      published_(adapter ? std::make_shared<published_path>(state_, adapter->make_source(workers_)) : nullptr),
+      published_(adapter ? std::make_shared<published_path>(state_, adapter->make_source(workers_))
+                         : nullptr),
       control_(std::make_shared<control_path>(state_, workers_, peers_, published_)),
       admin_(state_, *inbound_, *outbound_),
       callers_server_(workers_, settings.callers, *outbound_),
--- a/nutmegarch/node/node_settings.cpp
+++ b/nutmegarch/node/node_settings.cpp
@@ -36,7 +36,8 @@
   reader.read_integer("/callers/most_head_bytes", to.callers.most_head_bytes, 1'024, 1 << 20);
   reader.read_integer("/callers/most_connections", to.callers.most_connections, 1, 100'000);
   reader.read_duration("/callers/idle_timeout", to.callers.idle_timeout, seconds(1), hours(1));
-  reader.read_duration("/callers/stopping_idle_timeout", to.callers.stopping_idle_timeout, milliseconds(1), hours(1));
+  reader.read_duration("/callers/stopping_idle_timeout", to.callers.stopping_idle_timeout, milliseconds(1),
+                       hours(1));
   reader.read_duration("/calls/timeout", to.calls.timeout, milliseconds(1), minutes(10));
   reader.read_duration("/calls/longest_timeout", to.calls.longest_timeout, milliseconds(1), hours(1));
   reader.read_address("/platform/address", to.platform.address, true);
--- a/nutmegarch/node/node_settings.h
+++ b/nutmegarch/node/node_settings.h
@@ -38,7 +38,7 @@
   std::string peers;
   std::string admin;
   /// Where the platform asks whether the node is ready; empty when it does not.
-  std::string ready;
+  std::string ready = {};
 };
 
 /// The target beside the node.
--- a/nutmegarch/node/published_path.cpp
+++ b/nutmegarch/node/published_path.cpp
@@ -16,6 +16,8 @@
 constexpr const char* configuration_document = "published-configuration";
 /// Most unreadable entries that are remembered as logged.
 constexpr std::size_t most_unreadable = 1024;
+/// Most changed routes of one configuration that are logged by name.
+constexpr int most_logged_routes = 32;
 
 std::string host_part(const std::string& address) { return address.substr(0, address.rfind(':')); }
 
@@ -79,8 +81,8 @@
     return;
   }
   state_.counts.add("store_calls");
-  source_->send(request, [self = shared_from_this(), request](
-                             const result<membership::store_answer, membership::store_error>& outcome) {
+  source_->send(request, [self = shared_from_this(),
+                          request](const result<membership::store_answer, membership::store_error>& outcome) {
     self->on_answer(request, outcome);
   });
 }
@@ -178,6 +180,7 @@
   if (state_.routes && configuration.version <= in_force) {
     return false;
   }
+  log_changed_routes(configuration);
   state_.routes = std::make_shared<const routes::route_table>(configuration);
   state_.documents.merge(
       {{configuration_document, configuration.version, revision, hash_text(value)}, value});
@@ -190,6 +193,30 @@
   return true;
 }
 
+void published_path::log_changed_routes(const routes::route_configuration& next) const {
+  int logged = 0;
+  for (const routes::route& route : next.routes) {
+    const routes::route* const before = state_.routes ? state_.routes->find_by_name(route.name) : nullptr;
+    if (before != nullptr && *before == route) {
+      continue;
+    }
+    if (++logged > most_logged_routes) {
+      return;
+    }
+    observe::log_event(observe::log_level::info, "route-changed",
+                       {{"version", std::to_string(next.version)},
+                        {"route", route.name},
+                        {"host", route.host},
+                        {"prefix", route.prefix},
+                        {"services", routes::to_text(route.services)},
+                        {"idempotent", route.idempotent ? "true" : "false"},
+                        {"priority", std::to_string(route.priority)},
+                        {"most_attempts", std::to_string(route.most_attempts)},
+                        {"timeout_ms", observe::to_milliseconds_text(route.timeout)},
+                        {"objective_ms", observe::to_milliseconds_text(route.objective)}});
+  }
+}
+
 std::vector<membership::published_host> published_path::read_hosts() {
   std::vector<membership::published_host> hosts;
   std::map<std::string, membership::published_host> newest;
--- a/nutmegarch/node/published_path.h
+++ b/nutmegarch/node/published_path.h
@@ -36,6 +36,7 @@
                  const result<membership::store_answer, membership::store_error>& outcome);
   /// Takes a configuration; holds the state's lock. True when it is newer than the one in force.
   bool take_configuration(const std::string& value, std::uint64_t revision, const std::string& from);
+  void log_changed_routes(const routes::route_configuration& next) const;
   /// Takes the configuration out of the items, if it is among them. Holds the state's lock.
   bool take_configuration_of(std::vector<membership::published_item>& items);
   /// Passes the entries that are held on to the parts that use them. Holds the state's lock.
--- a/nutmegarch/node/routed_call.cpp
+++ b/nutmegarch/node/routed_call.cpp
@@ -14,14 +14,10 @@
 /// Priority from which on all calls are of the least important class.
 constexpr int least_priority = 2;
 
-call_class class_of(int priority) {
-  return static_cast<call_class>(std::clamp(priority, 0, least_priority));
-}
+call_class class_of(int priority) { return static_cast<call_class>(std::clamp(priority, 0, least_priority)); }
 
 /// Names of attempts are unique, so their hash serves as the request's id.
-request_id id_of(const std::string& attempt_id) {
-  return {hash_text(attempt_id), hash_text(attempt_id, 1)};
-}
+request_id id_of(const std::string& attempt_id) { return {hash_text(attempt_id), hash_text(attempt_id, 1)}; }
 
 int status_for(call_outcome outcome, call_reason reason) {
   switch (reason) {
@@ -66,16 +62,16 @@
   built_call built;
   call_context& context = built.context;
   context.attempt_id = told.attempt_id;
-  context.id = told.attempt_id.empty() ? request_id{state.random.bits(), state.random.bits()}
-                                       : id_of(told.attempt_id);
+  context.id =
+      told.attempt_id.empty() ? request_id{state.random.bits(), state.random.bits()} : id_of(told.attempt_id);
   context.service = state.splits.choose(*route);
   context.route = route->name;
   context.caller = state.settings.identity.service;
   context.cls = class_of(route->priority);
   context.shed_rank = shed_rank_of(context.id);
   context.idempotent = route->idempotent;
-  context.fingerprint = hash_text(
-      request.body, hash_text(context.caller + ' ' + request.method + ' ' + request.authority + request.target));
+  context.fingerprint = hash_text(request.body, hash_text(context.caller + ' ' + request.method + ' ' +
+                                                          request.authority + request.target));
   context.crash_count =
       static_cast<std::uint8_t>(std::min(255, state.crashes.crashes(context.fingerprint, now)));
   duration wait = told.patience.value_or(state.settings.calls.timeout);
@@ -98,8 +94,8 @@
   return sent;
 }
 
-target_answer interpret_routed(const edge_dialect& dialect, result<answer_message, http::client_error> outcome,
-                               bool is_cancelled) {
+target_answer interpret_routed(const edge_dialect& dialect,
+                               result<answer_message, http::client_error> outcome, bool is_cancelled) {
   if (!succeeded(outcome)) {
     const bool is_unwritten = std::get<http::client_error>(outcome) == http::client_error::unreachable;
     target_answer lost = interpret(std::move(outcome), true, is_cancelled);
--- a/nutmegarch/node/routed_call.h
+++ b/nutmegarch/node/routed_call.h
@@ -18,8 +18,8 @@
                                  const policy::inbound_call& call, time_point now);
 
 /// Reads what came of a call at the target.
-target_answer interpret_routed(const edge_dialect& dialect, result<answer_message, http::client_error> outcome,
-                               bool is_cancelled);
+target_answer interpret_routed(const edge_dialect& dialect,
+                               result<answer_message, http::client_error> outcome, bool is_cancelled);
 
 /// The answer for a call that no target has answered. `come_back` is when the caller may ask again; it is
 /// told where nothing has run.
--- a/nutmegarch/observe/log.cpp
+++ b/nutmegarch/observe/log.cpp
@@ -37,6 +37,10 @@
 
 }  // namespace
 
+std::string to_milliseconds_text(duration value) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
 void configure_log(const log_settings& settings) {
   least_level = settings.level;
   writes_json = settings.json;
--- a/nutmegarch/observe/log.h
+++ b/nutmegarch/observe/log.h
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "nutmegarch/core/time.h"
+
 namespace nutmegarch::observe {
 
 /// Weight of a log line.
@@ -20,6 +22,9 @@
 /// Fields of a log line.
 using log_fields = std::vector<std::pair<std::string, std::string>>;
 
+/// Whole milliseconds, as in "250".
+std::string to_milliseconds_text(duration value);
+
 /// Sets the log up: lines go to the standard error stream, never to a file. Call it once, before the first
 /// line.
 void configure_log(const log_settings& settings);
--- a/nutmegarch/policy/routing_choice.cpp
+++ b/nutmegarch/policy/routing_choice.cpp
@@ -68,10 +68,9 @@
   const double slots = std::max(1, candidate.slots);
   const bool is_fresh =
       candidate.carried_at != time_point{} && now - candidate.carried_at < settings.carried_lifetime;
-  const double load =
-      is_fresh
-          ? candidate.carried_load + (candidate.outstanding - candidate.outstanding_at_report + 1) / slots
-          : (candidate.outstanding + 1) / slots;
+  const double load = is_fresh ? candidate.carried_load +
+                                     (candidate.outstanding - candidate.outstanding_at_report + 1) / slots
+                               : (candidate.outstanding + 1) / slots;
   double time = std::max(candidate.slowness, 0.1);
   time *= 1 + settings.crowding * std::max(0.0, load - settings.crowded_load) + 0.05 * load;
 
--- a/nutmegarch/policy/routing_choice.h
+++ b/nutmegarch/policy/routing_choice.h
@@ -78,8 +78,8 @@
   score_settings settings_;
 };
 
-/// The candidate with the least expected time to an answer: its usual slowness, which holds the way there, and
-/// the crowding of its slots. Answers the load of targets that differ in speed and distance.
+/// The candidate with the least expected time to an answer: its usual slowness, which holds the way there,
+/// and the crowding of its slots. Answers the load of targets that differ in speed and distance.
 class least_time_choice final : public routing_choice {
  public:
   explicit least_time_choice(const score_settings& settings) : settings_(settings) {}
--- a/nutmegarch/policy/sender.cpp
+++ b/nutmegarch/policy/sender.cpp
@@ -298,9 +298,16 @@
   send(call, *selected.chosen, call->context.repeated || call->may_have_run, false, now, actions);
 }
 
-bool sender::may_retry(const outbound_call& call, call_outcome outcome) const {
+bool sender::may_reach_another(const outbound_call& call) const {
+  // An open attempt may have reached its target by now.
   const std::size_t most = call.most_attempts == 0 ? settings_.most_attempts : call.most_attempts;
-  if (settings_.pass_through || call.arrivals >= most || call.attempts.size() >= most_sends) {
+  const std::size_t open = static_cast<std::size_t>(std::count_if(
+      call.attempts.begin(), call.attempts.end(), [](const attempt& tried) { return tried.open; }));
+  return call.arrivals + open < most && call.attempts.size() < most_sends;
+}
+
+bool sender::may_retry(const outbound_call& call, call_outcome outcome) const {
+  if (settings_.pass_through || !may_reach_another(call)) {
     return false;
   }
   // A ticket is asked for again at the same home only; its registry gives the first answer again.
@@ -344,7 +351,8 @@
 void sender::hedge(const outbound_call_ptr& call, time_point now, sender_actions& actions) {
   service_state& service = state_of(call->context.service);
   const bool first_only = call->attempts.size() == 1 && call->attempts.front().open;
-  if (!first_only || call->hedged || call->context.repeated || !service.hedges.has_token(call->context.cls)) {
+  if (!first_only || call->hedged || !may_reach_another(*call) || call->context.repeated ||
+      !service.hedges.has_token(call->context.cls)) {
     return;
   }
   const selection selected = select(service, *call, now);
--- a/nutmegarch/policy/sender.h
+++ b/nutmegarch/policy/sender.h
@@ -96,6 +96,8 @@
             sender_actions& actions);
   void retry_or_complete(const outbound_call_ptr& call, call_outcome known, time_point now,
                          sender_actions& actions);
+  /// The call may be sent to one more target, as far as the number of its attempts goes.
+  bool may_reach_another(const outbound_call& call) const;
   bool may_retry(const outbound_call& call, call_outcome outcome) const;
   void complete(const outbound_call_ptr& call, call_outcome outcome, call_reason reason, std::size_t index,
                 time_point now, sender_actions& actions);
--- a/nutmegarch/routes/route.h
+++ b/nutmegarch/routes/route.h
@@ -14,8 +14,13 @@
   std::string service;
   /// Part of the route's calls, relative to the other services of the route.
   double weight = 1;
+
+  friend bool operator==(const weighted_service&, const weighted_service&) = default;
 };
 
+/// "SERVICE" or "SERVICE:WEIGHT,SERVICE:WEIGHT", for logs.
+std::string to_text(const std::vector<weighted_service>& services);
+
 /// What holds for requests to one host under one path prefix.
 struct route {
   std::string name;
@@ -34,6 +39,8 @@
   int priority = 0;
   /// Targets to which one request may be sent.
   int most_attempts = 1;
+
+  friend bool operator==(const route&, const route&) = default;
 };
 
 /// What holds for all targets of one service.
--- a/nutmegarch/routes/route_table.cpp
+++ b/nutmegarch/routes/route_table.cpp
@@ -17,6 +17,17 @@
 
 }  // namespace
 
+std::string to_text(const std::vector<weighted_service>& services) {
+  if (services.size() == 1) {
+    return services.front().service;
+  }
+  std::string text;
+  for (const weighted_service& part : services) {
+    text += (text.empty() ? "" : ",") + part.service + ':' + std::to_string(static_cast<int>(part.weight));
+  }
+  return text;
+}
+
 route_table::route_table(route_configuration configuration) : configuration_(std::move(configuration)) {
   for (std::size_t i = 0; i < configuration_.routes.size(); ++i) {
     const route& known = configuration_.routes.at(i);
--- a/unit_tests/http/http_test.cpp
+++ b/unit_tests/http/http_test.cpp
@@ -1,5 +1,10 @@
+#include <array>
 #include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
 #include <thread>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -20,9 +25,11 @@
 /// Accepts one connection, reads some of the request, writes a text, and closes it or keeps it open.
 class raw_peer {
  public:
-  explicit raw_peer(std::string text, bool closes = true)
+  enum class ending { orderly, open, reset };
+
+  explicit raw_peer(std::string text, ending end = ending::orderly)
       : text_(std::move(text)),
-        closes_(closes),
+        ending_(end),
         acceptor_(context_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
     thread_ = std::thread([this]() { serve(); });
   }
@@ -46,7 +53,12 @@
     std::array<char, 4096> buffer{};
     socket.read_some(boost::asio::buffer(buffer), ignored);
     boost::asio::write(socket, boost::asio::buffer(text_), ignored);
-    if (closes_) {
+    if (ending_ == ending::reset) {
+      // Let the text arrive first: a reset may overtake it.
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    }
+    if (ending_ != ending::open) {
       socket.close(ignored);
     }
     if (!is_over_) {
@@ -55,18 +67,23 @@
   }
 
   std::string text_;
-  bool closes_;
+  ending ending_;
   std::atomic<bool> is_over_{false};
   boost::asio::io_context context_;
   tcp::acceptor acceptor_;
   std::thread thread_;
 };
 
-result<answer_message, client_error> get(const tcp::endpoint& address, duration timeout) {
+result<answer_message, client_error> get(const tcp::endpoint& address, duration timeout,
+                                         const client_settings& settings = {}, const std::string& id = "") {
   boost::asio::io_context workers;
-  client_pool pool(workers, address, {});
+  client_pool pool(workers, address, settings);
   result<answer_message, client_error> found = client_error::unreachable;
-  pool.send({"GET", "/", {}, ""}, timeout,
+  headers fields;
+  if (!id.empty()) {
+    fields.push_back({settings.echoed_field, id});
+  }
+  pool.send({"GET", "/", fields, ""}, timeout,
             [&](const result<answer_message, client_error>& outcome) { found = outcome; });
   workers.run();
   return found;
@@ -121,6 +138,84 @@
   }
 };
 
+/// Keeps its answers until the test gives them, and remembers who has gone.
+class holder final : public request_handler {
+ public:
+  void on_request(std::uint64_t exchange, request_message request, reply answer) override {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    held_.push_back({exchange, request.target, std::move(answer)});
+    changed_.notify_all();
+  }
+  void on_disconnect(std::uint64_t) override {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    ++gone_;
+    changed_.notify_all();
+  }
+
+  bool wait_for_requests(std::size_t count) {
+    return wait([&]() { return held_.size() >= count; });
+  }
+  bool wait_for_gone(int count) {
+    return wait([&]() { return gone_ >= count; });
+  }
+  void answer(std::size_t index) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    held_.at(index).answer({200, {}, "to " + held_.at(index).target});
+  }
+
+ private:
+  struct held_request {
+    std::uint64_t exchange;
+    std::string target;
+    reply answer;
+  };
+
+  bool wait(const std::function<bool()>& condition) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    return changed_.wait_for(lock, std::chrono::seconds(20), condition);
+  }
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<held_request> held_;
+  int gone_ = 0;
+};
+
+/// A server whose handler holds its answers, and one connection to it.
+struct held_server {
+  boost::asio::io_context workers;
+  holder handler;
+  server tested{workers, server_settings{}, handler};
+  std::thread thread;
+  boost::asio::io_context context;
+  tcp::socket socket{context};
+
+  held_server() {
+    BOOST_REQUIRE(tested.start("127.0.0.1:0"));
+    thread = std::thread([this]() { workers.run(); });
+    socket.connect(*parse_address("127.0.0.1:" + std::to_string(tested.port())));
+  }
+  held_server(const held_server&) = delete;
+  held_server& operator=(const held_server&) = delete;
+  ~held_server() {
+    workers.stop();
+    thread.join();
+  }
+
+  void send(const std::string& raw) { boost::asio::write(socket, boost::asio::buffer(raw)); }
+
+  /// Reads until the text has come, or the connection ends.
+  std::string read_until(const std::string& text) {
+    std::string got;
+    std::array<char, 4096> buffer{};
+    boost::system::error_code error;
+    while (!error && got.find(text) == std::string::npos) {
+      got.append(buffer.data(), socket.read_some(boost::asio::buffer(buffer), error));
+    }
+    return got;
+  }
+};
+
 constexpr duration patience = std::chrono::seconds(20);
 
 }  // namespace
@@ -144,7 +239,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_silent_target_and_an_absent_one_are_told_apart) {
-  const raw_peer silent("", false);
+  const raw_peer silent("", raw_peer::ending::open);
   BOOST_TEST((error_of(get(silent.address(), std::chrono::milliseconds(50))) == client_error::timed_out));
   const tcp::endpoint absent = *parse_address(free_address());
   BOOST_TEST((error_of(get(absent, patience)) == client_error::unreachable));
@@ -165,6 +260,65 @@
   BOOST_TEST(refused.find("not-run") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(requests_are_read_while_answers_are_due_and_answered_in_their_order) {
+  held_server fixture;
+  fixture.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_REQUIRE(fixture.handler.wait_for_requests(2));
+  fixture.handler.answer(1);
+  fixture.handler.answer(0);
+  const std::string got = fixture.read_until("to /2");
+  BOOST_TEST(got.find("to /1") < got.find("to /2"));
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_cancels_all_that_it_has_asked) {
+  held_server fixture;
+  fixture.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_REQUIRE(fixture.handler.wait_for_requests(2));
+  fixture.socket.close();
+  BOOST_TEST(fixture.handler.wait_for_gone(2));
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_asked_for_the_end_of_its_connection_may_leave_before_the_answer) {
+  held_server fixture;
+  fixture.send("GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  BOOST_REQUIRE(fixture.handler.wait_for_requests(1));
+  fixture.socket.close();
+  BOOST_TEST(fixture.handler.wait_for_gone(1));
+}
+
+BOOST_AUTO_TEST_CASE(a_stopping_server_answers_what_it_has_read_before_it_closes) {
+  held_server fixture;
+  fixture.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_REQUIRE(fixture.handler.wait_for_requests(2));
+  fixture.tested.refuse_keep_alive();
+  fixture.handler.answer(0);
+  BOOST_TEST(fixture.read_until("to /1").find("Connection: close") == std::string::npos);
+  fixture.handler.answer(1);
+  BOOST_TEST(fixture.read_until("to /2").find("Connection: close") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_of_an_earlier_request_is_dropped) {
+  const raw_peer late(
+      "HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 5\r\n\r\nwrong"
+      "HTTP/1.1 200 OK\r\nX-Id: new\r\nContent-Length: 5\r\n\r\nright");
+  client_settings settings;
+  settings.echoed_field = "X-Id";
+  const result<answer_message, client_error> outcome = get(late.address(), patience, settings, "new");
+  BOOST_REQUIRE(succeeded(outcome));
+  BOOST_TEST(std::get<answer_message>(outcome).body == "right");
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_without_a_length_is_whole_at_an_orderly_end_only) {
+  client_settings settings;
+  settings.accepts_unframed = true;
+  const raw_peer orderly("HTTP/1.1 200 OK\r\n\r\nall of it");
+  const result<answer_message, client_error> outcome = get(orderly.address(), patience, settings);
+  BOOST_REQUIRE(succeeded(outcome));
+  BOOST_TEST(std::get<answer_message>(outcome).body == "all of it");
+  const raw_peer reset("HTTP/1.1 200 OK\r\n\r\nsome of it", raw_peer::ending::reset);
+  BOOST_TEST((error_of(get(reset.address(), patience, settings)) == client_error::lost));
+}
+
 BOOST_AUTO_TEST_CASE(addresses_are_numbers) {
   BOOST_TEST(parse_address("127.0.0.1:80").has_value());
   BOOST_TEST(parse_address("[::1]:80").has_value());
--- a/unit_tests/policy/sender_test.cpp
+++ b/unit_tests/policy/sender_test.cpp
@@ -256,6 +256,37 @@
   BOOST_TEST(call->attempts.front().to == endpoints.at(1));
 }
 
+// Found on the platform: a hedge took a call to a second target though its route allows one.
+BOOST_FIXTURE_TEST_CASE(a_hedge_does_not_take_a_call_to_more_targets_than_allowed, fixture) {
+  tested.set_endpoints("s", make_endpoints(3));
+  const outbound_call_ptr call = make_call(begin + std::chrono::seconds(5), true);
+  call->most_attempts = 1;
+  tested.start(call, begin, actions);
+  tested.on_time(begin + std::chrono::seconds(4), actions);
+  BOOST_TEST(call->attempts.size() == 1U);
+}
+
+// A node that refuses a call has not let it reach its target: others may be asked, and that is free.
+BOOST_FIXTURE_TEST_CASE(a_refusal_between_nodes_counts_neither_as_an_attempt_nor_as_a_retry, fixture) {
+  tested.set_endpoints("s", make_endpoints(3));
+  const outbound_call_ptr call = make_call(begin + std::chrono::seconds(5), false);
+  call->most_attempts = 1;
+  call->ledger = retry_ledger_ptr(new retry_ledger(0));
+  tested.start(call, begin, actions);
+  attempt_answer refused = make_answer(call_outcome::not_run, call_reason::queue_full);
+  refused.reached_target = false;
+  tested.on_answer(call, 0, refused, begin, actions);
+  BOOST_REQUIRE(call->attempts.size() == 2U);
+  tested.on_answer(call, 1, refused, begin, actions);
+  BOOST_REQUIRE(call->attempts.size() == 3U);
+
+  // A target that has refused it has been reached.
+  attempt_answer shed = make_answer(call_outcome::not_run, call_reason::target_refused);
+  tested.on_answer(call, 2, shed, begin, actions);
+  BOOST_TEST(call->done);
+  BOOST_TEST((actions.back().outcome == call_outcome::not_run));
+}
+
 // Found by stopping a process: each hedge hid the silent endpoint, until the hedges were used up.
 BOOST_FIXTURE_TEST_CASE(an_endpoint_that_only_hedges_answer_for_is_ejected, fixture) {
   const std::vector<endpoint_ptr> endpoints = make_endpoints(2);
