Log what was decided for single requests, through a bounded buffer that never waits

Change: request_log writes one line for each failure at the node of its caller and beside its target, with the inputs and their age, within a budget; line_buffer drops and counts what its reader does not take.

--- a/nutmegarch/command/node_command.cpp
+++ b/nutmegarch/command/node_command.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+/// How long a stopping process waits for the reader of its log.
+constexpr duration last_flush = std::chrono::milliseconds(100);
+
 std::uint64_t random_number() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
@@ -68,6 +71,8 @@
   observe::log_event(observe::log_level::info, "node-stopping", {{"host", settings.identity.host}});
   served.leave();
   served.wait();
+  observe::log_event(observe::log_level::info, "node-stopped", {{"host", settings.identity.host}});
+  observe::flush_log(last_flush);
   return done;
 }
 
--- a/nutmegarch/node/inbound_path.cpp
+++ b/nutmegarch/node/inbound_path.cpp
@@ -267,6 +267,9 @@
     }
     state_.events.add(observe::event_kind::call_shed, action.call->context.id, action.call->context.route,
                       name_of(action.reason));
+    if (state_.dialect) {
+      state_.requests.on_refused(*action.call, action.reason, state_.receiver, state_.clock.now());
+    }
     end(action.call->key, make_refusal(call_outcome::not_run, action.reason), todo);
   }
 }
@@ -380,6 +383,10 @@
     }
     state_.events.add(observe::event_kind::call_answered, context.id, context.route,
                       name_of(content.outcome));
+    if (state_.dialect && content.outcome != call_outcome::ok) {
+      state_.requests.on_target_failure(*found->second.call, content.outcome, content.reason,
+                                        content.message.status, now);
+    }
     policy::receiver_actions actions;
     state_.receiver.finish(found->second.call, answered.result, now, actions);
     end(key, std::move(content), todo);
--- a/nutmegarch/node/node.cpp
+++ b/nutmegarch/node/node.cpp
@@ -162,6 +162,7 @@
     published_->on_time();
   }
   step_leaving(now);
+  observe::flush_log();
   if (!finished_) {
     schedule_tick();
   }
--- a/nutmegarch/node/node_state.h
+++ b/nutmegarch/node/node_state.h
@@ -10,6 +10,7 @@
 #include "nutmegarch/membership/gossip_schedule.h"
 #include "nutmegarch/node/edge_dialect.h"
 #include "nutmegarch/node/node_settings.h"
+#include "nutmegarch/node/request_log.h"
 #include "nutmegarch/observe/metrics.h"
 #include "nutmegarch/observe/timeline.h"
 #include "nutmegarch/policy/downstream_levels.h"
@@ -55,6 +56,7 @@
   /// The operator's routes; null without a platform that publishes them, and before the first was read.
   std::shared_ptr<const routes::route_table> routes;
   routes::split_choice splits;
+  request_log requests;
   /// Published processes of the target beside this node; true for those that leave or have left.
   std::map<std::string, bool> local_instances;
   /// Calls that each rule touched since it is in force, by line.
@@ -65,6 +67,9 @@
   std::chrono::system_clock::time_point rules_since;
   bool leaving = false;
 
+  /// Version of the routes in force; 0 without any.
+  std::uint64_t configuration_version() const { return routes ? routes->version() : 0; }
+
   /// Refuse calls while the view may be old. Holds the lock.
   bool is_revalidating(time_point now) const { return now < revalidating_until; }
 };
--- a/nutmegarch/node/outbound_path.cpp
+++ b/nutmegarch/node/outbound_path.cpp
@@ -125,6 +125,9 @@
     } else {
       refused = std::get<call_reason>(built);
       state_.counts.on_outbound(call_class::browse, call_outcome::not_run, refused, duration{});
+      state_.requests.on_rejected(state_.dialect->read_caller(pending.request->fields).attempt_id,
+                                  pending.request->target, refused, state_.configuration_version(),
+                                  state_.clock.now());
     }
   }
   if (refused != call_reason::none) {
@@ -314,6 +317,10 @@
     }
     ended = std::move(found->second);
     calls_.erase(found);
+    if (state_.dialect) {
+      state_.requests.on_completed(*action.call, action.outcome, action.reason,
+                                   state_.configuration_version(), state_.clock.now());
+    }
   }
   const call_context& context = action.call->context;
   const bool is_from_target = action.outcome == call_outcome::ok || action.outcome == call_outcome::failed;
--- /dev/null
+++ b/nutmegarch/node/request_log.cpp
@@ -0,0 +1,123 @@
+#include "nutmegarch/node/request_log.h"
+
+#include <cstdio>
+
+namespace nutmegarch::node {
+
+namespace {
+
+using observe::to_milliseconds_text;
+
+/// One of this many successes is logged, chosen by the request's id, so that all nodes log the same ones.
+constexpr std::uint64_t success_sample = 256;
+
+std::string number_text(double value) {
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.2f", value);
+  return text;
+}
+
+/// "INSTANCE@ADDRESS sent=MS took=MS outcome=O reason=R load=L age=MS slowness=S" for each, by semicolons.
+std::string attempts_text(const policy::outbound_call& call) {
+  std::string text;
+  for (const policy::attempt& made : call.attempts) {
+    text += text.empty() ? "" : "; ";
+    text += (made.to->instance.empty() ? made.to->host : made.to->instance) + '@' + made.to->address;
+    text += " sent=" + to_milliseconds_text(made.sent - call.started);
+    if (made.latency > duration{}) {
+      text += " took=" + to_milliseconds_text(made.latency) + " outcome=" + name_of(made.outcome) +
+              " reason=" + name_of(made.reason);
+    } else {
+      text += " open";
+    }
+    text += " load=" + number_text(made.load) + " age=" +
+            (made.load_age < duration{} ? std::string("none") : to_milliseconds_text(made.load_age)) +
+            " slowness=" + number_text(made.slowness) + (made.is_hedge ? " hedge" : "");
+  }
+  return text;
+}
+
+}  // namespace
+
+void request_log::on_completed(const policy::outbound_call& call, call_outcome outcome, call_reason reason,
+                               std::uint64_t configuration, time_point now) {
+  const bool is_failure = outcome != call_outcome::ok;
+  const bool is_sampled = call.context.id.low % success_sample == 0;
+  if (!is_failure && !is_sampled) {
+    return;
+  }
+  if (!may_log(now)) {
+    return;
+  }
+  observe::log_event(observe::log_level::info, "request-ended",
+                     {{"id", call.context.attempt_id},
+                      {"route", call.context.route},
+                      {"service", call.context.service},
+                      {"class", name_of(call.context.cls)},
+                      {"rank", std::to_string(call.context.shed_rank)},
+                      {"outcome", name_of(outcome)},
+                      {"reason", name_of(reason)},
+                      {"took_ms", to_milliseconds_text(now - call.started)},
+                      {"allowed_ms", to_milliseconds_text(call.deadline - call.started)},
+                      {"configuration", std::to_string(configuration)},
+                      {"attempts", attempts_text(call)}});
+}
+
+void request_log::on_rejected(const std::string& attempt_id, const std::string& target, call_reason reason,
+                              std::uint64_t configuration, time_point now) {
+  if (may_log(now)) {
+    observe::log_event(observe::log_level::info, "request-rejected",
+                       {{"id", attempt_id},
+                        {"target", target.substr(0, target.find('?'))},
+                        {"reason", name_of(reason)},
+                        {"configuration", std::to_string(configuration)}});
+  }
+}
+
+void request_log::on_refused(const policy::inbound_call& call, call_reason reason,
+                             const policy::receiver& receiver, time_point now) {
+  if (may_log(now)) {
+    observe::log_event(
+        observe::log_level::info, "call-refused",
+        {{"id", call.context.attempt_id},
+         {"route", call.context.route},
+         {"class", name_of(call.context.cls)},
+         {"rank", std::to_string(call.context.shed_rank)},
+         {"reason", name_of(reason)},
+         {"waited_ms", to_milliseconds_text(now - call.arrived)},
+         {"left_ms", call.deadline == never ? "none" : to_milliseconds_text(call.deadline - now)},
+         {"running", std::to_string(receiver.running())},
+         {"waiting", std::to_string(receiver.waiting())},
+         {"limit", std::to_string(receiver.limit())},
+         {"level", std::to_string(receiver.level().cutoff)}});
+  }
+}
+
+void request_log::on_target_failure(const policy::inbound_call& call, call_outcome outcome,
+                                    call_reason reason, int status, time_point now) {
+  if (may_log(now)) {
+    observe::log_event(observe::log_level::info, "call-failed",
+                       {{"id", call.context.attempt_id},
+                        {"route", call.context.route},
+                        {"instance", call.context.instance},
+                        {"outcome", name_of(outcome)},
+                        {"reason", name_of(reason)},
+                        {"status", std::to_string(status)},
+                        {"waited_ms", to_milliseconds_text(call.started - call.arrived)},
+                        {"ran_ms", to_milliseconds_text(now - call.started)}});
+  }
+}
+
+bool request_log::may_log(time_point now) {
+  if (!failures_.take(now)) {
+    return false;
+  }
+  const std::uint64_t suppressed = failures_.take_suppressed();
+  if (suppressed > 0) {
+    observe::log_event(observe::log_level::warning, "request-lines-suppressed",
+                       {{"lines", std::to_string(suppressed)}});
+  }
+  return true;
+}
+
+}  // namespace nutmegarch::node
--- a/nutmegarch/observe/log.h
+++ b/nutmegarch/observe/log.h
@@ -25,10 +25,14 @@
 /// Whole milliseconds, as in "250".
 std::string to_milliseconds_text(duration value);
 
-/// Sets the log up: lines go to the standard error stream, never to a file. Call it once, before the first
-/// line.
+/// Sets the log up: lines go to the standard output, never to a file. Call it once, before the first line.
+/// Lines wait in a bounded buffer for flush_log().
 void configure_log(const log_settings& settings);
 
+/// Writes the lines that wait, as far as the reader of the output takes them; waits at most `patience` for
+/// it. Says how many lines were dropped since the last call.
+void flush_log(duration patience = {});
+
 /// Writes one line for one event. Any thread may call it.
 void log_event(log_level level, const std::string& event, const log_fields& fields);
 
--- a/nutmegarch/policy/outbound_call.h
+++ b/nutmegarch/policy/outbound_call.h
@@ -15,6 +15,17 @@
   std::uint16_t tokens_given = 0;
   bool open = true;
   bool is_hedge = false;
+
+  /// @name For the log
+  /// @{
+  /// Load of the endpoint as known when it was chosen, and the age of that report; negative without one.
+  double load = 0;
+  duration load_age{-1};
+  double slowness = 1;
+  call_outcome outcome = call_outcome::unknown;
+  call_reason reason = call_reason::none;
+  duration latency{};
+  /// @}
 };
 
 /// One call that this node makes for an outside caller or for its target, over all its attempts.
--- a/nutmegarch/policy/sender.cpp
+++ b/nutmegarch/policy/sender.cpp
@@ -88,6 +88,9 @@
     return;
   }
   close(answered);
+  answered.outcome = answer.outcome;
+  answered.reason = answer.reason;
+  answered.latency = now - answered.sent;
   call->ledger->put_back(answer.tokens_back, answered.tokens_given);
   call->arrivals += answer.reached_target ? 1 : 0;
 
@@ -250,6 +253,9 @@
   const bool calls_on = state_of(call->context.service).calls_on(call->context.route);
   made.tokens_given = calls_on ? call->ledger->take_share() : std::uint16_t{0};
   made.is_hedge = is_hedge;
+  made.load = to.carried_load;
+  made.load_age = to.carried_at == time_point{} ? duration(-1) : now - to.carried_at;
+  made.slowness = to.slowness;
   call->attempts.push_back(made);
   if (to.joined == time_point{}) {
     to.joined = now;
