Find inner calls by their deadline, shed chains at their entry, and keep one process an address

Tests: inner_calls, platform_path (two nodes against a stand-in of the store), published_states, log_lines.

--- a/nutmegarch/core/call.h
+++ b/nutmegarch/core/call.h
@@ -117,6 +117,8 @@
   std::string attempt_id;
   /// The target process that is to run the call, as published; empty when any may.
   std::string instance;
+  /// A target makes the call while it runs another one, which fails when this one does.
+  bool inner = false;
 };
 
 /// Calls of this class and rank, and of everything less important, are refused.
--- a/nutmegarch/membership/host_list.cpp
+++ b/nutmegarch/membership/host_list.cpp
@@ -1,5 +1,9 @@
 #include "nutmegarch/membership/host_list.h"
 
+#include <map>
+#include <tuple>
+#include <utility>
+
 #include <boost/json.hpp>
 
 namespace nutmegarch::membership {
@@ -34,6 +38,22 @@
 
 }  // namespace
 
+void keep_newest_by_address(std::vector<published_host>& hosts) {
+  std::map<std::string, published_host> newest;
+  for (published_host& host : hosts) {
+    auto known = newest.find(host.address);
+    if (known == newest.end()) {
+      newest.emplace(host.address, std::move(host));
+    } else if (std::tie(host.born, host.revision) > std::tie(known->second.born, known->second.revision)) {
+      known->second = std::move(host);
+    }
+  }
+  hosts.clear();
+  for (std::pair<const std::string, published_host>& kept : newest) {
+    hosts.push_back(std::move(kept.second));
+  }
+}
+
 result<host_list, host_list_error> parse_host_list(const std::string& text) {
   boost::json::error_code error;
   const boost::json::value parsed = boost::json::parse(text, error);
--- a/nutmegarch/membership/host_list.h
+++ b/nutmegarch/membership/host_list.h
@@ -28,6 +28,8 @@
   std::int64_t born = 0;
   /// How much longer the target is slow after its start.
   duration cold{};
+  /// Revision of the platform's store at which the entry was written; 0 when unknown.
+  std::uint64_t revision = 0;
 };
 
 /// The hosts of one service. Published as JSON under the key "hosts/SERVICE":
@@ -43,6 +45,10 @@
   std::string message;
 };
 
+/// An address belongs to one process at a time: of several hosts with the same, only the one whose process
+/// started last stays, and of those that do not say, the one that was written last.
+void keep_newest_by_address(std::vector<published_host>& hosts);
+
 /// Reads the published form.
 result<host_list, host_list_error> parse_host_list(const std::string& text);
 
--- a/nutmegarch/node/inbound_path.cpp
+++ b/nutmegarch/node/inbound_path.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// Times are passed on in whole milliseconds, over two hand-overs on one host.
+constexpr duration deadline_tolerance = std::chrono::milliseconds(4);
+
 /// Key of a request id in look-up tables.
 std::uint64_t id_key(const request_id& id) { return hash_number(id.low, id.high); }
 
@@ -149,6 +152,21 @@
   return parent_call{found->second.call->context, found->second.ledger, found->second.call->deadline};
 }
 
+std::optional<parent_call> inbound_path::find_parent_by_deadline(time_point deadline) const {
+  auto at = by_deadline_.lower_bound({deadline - deadline_tolerance, 0});
+  std::optional<parent_call> nearest;
+  duration least = deadline_tolerance;
+  for (; at != by_deadline_.end() && at->first <= deadline + deadline_tolerance; ++at) {
+    const duration distance = at->first > deadline ? at->first - deadline : deadline - at->first;
+    auto found = calls_.find(at->second);
+    if (found != calls_.end() && distance <= least) {
+      least = distance;
+      nearest = parent_call{found->second.call->context, found->second.ledger, found->second.call->deadline};
+    }
+  }
+  return nearest;
+}
+
 void inbound_path::note_child(const request_id& parent, const std::string& service,
                               const std::string& route) {
   const std::optional<parent_call> found = find_parent(parent);
@@ -278,6 +296,7 @@
   auto found = calls_.find(key);
   entry ended = std::move(found->second);
   calls_.erase(found);
+  by_deadline_.erase({ended.call->deadline, key});
   auto by_request = by_request_.find(id_key(ended.call->context.id));
   if (by_request != by_request_.end() && by_request->second == key) {
     by_request_.erase(by_request);
@@ -330,6 +349,9 @@
     const time_point now = state_.clock.now();
     request = state_.dialect ? to_routed_target(*state_.dialect, *found->second.request, *call, now)
                              : to_target(*found->second.request, *call, now);
+    if (call->deadline != never) {
+      by_deadline_.insert({call->deadline, call->key});
+    }
     patience = call->deadline == never ? state_.settings.calls.longest_timeout : call->deadline - now;
     state_.events.add(observe::event_kind::call_started, call->context.id, call->context.route, "");
   }
@@ -424,7 +446,8 @@
   content.report = {state_.receiver.load(), state_.receiver.level(), state_.receiver.leaving(),
                     state_.incarnation};
   content.route_level = state_.downstream.level_below(route, state_.sender, now);
-  content.calls_on = !state_.settings.identity.calls.empty();
+  content.calls_on =
+      state_.dialect ? state_.downstream.calls_on(route) : !state_.settings.identity.calls.empty();
 }
 
 int inbound_path::live_targets() const {
--- a/nutmegarch/node/inbound_path.h
+++ b/nutmegarch/node/inbound_path.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -43,6 +44,9 @@
 
   /// The running call with this request id; nothing when there is none. Holds the state's lock.
   std::optional<parent_call> find_parent(const request_id& id) const;
+  /// The running call that ends at the moment at which a call of the target expires: a target's calls expire
+  /// with the call that it runs. Nothing when there is none. Holds the state's lock.
+  std::optional<parent_call> find_parent_by_deadline(time_point deadline) const;
   /// The parent's target calls `service` on `route`. Holds the state's lock.
   void note_child(const request_id& parent, const std::string& service, const std::string& route);
   /// True when no call runs or waits. Takes the state's lock.
@@ -101,6 +105,8 @@
   /// Guarded by the state's lock.
   std::unordered_map<std::uint64_t, entry> calls_;
   std::unordered_map<std::uint64_t, std::uint64_t> by_request_;
+  /// Keys of running calls by their deadline.
+  std::set<std::pair<time_point, std::uint64_t>> by_deadline_;
   /// Repeats of an order that runs, by the sequence of its ticket.
   std::unordered_map<std::uint64_t, std::vector<reply>> order_waiters_;
   std::uint64_t next_key_ = 1;
--- a/nutmegarch/node/node_settings.cpp
+++ b/nutmegarch/node/node_settings.cpp
@@ -92,6 +92,10 @@
   reader.read_integer("/routing/losses_to_eject", to.losses_to_eject, 1, 1'000);
   reader.read_duration("/routing/ejection", to.ejection, milliseconds(10), minutes(10));
   reader.read_duration("/routing/longest_ejection", to.longest_ejection, milliseconds(10), minutes(10));
+  reader.read_duration("/routing/stall_least", to.stall_least, milliseconds(0), minutes(1));
+  reader.read_flag("/routing/retries_leaves_only", to.retries_leaves_only);
+  reader.read_number("/routing/domain_factor", to.score.domain_factor, 1, 100);
+  reader.read_number("/routing/region_factor", to.score.region_factor, 1, 100);
   reader.read_number("/routing/most_ejected_share", to.most_ejected_share, 0, 1);
   reader.read_duration("/routing/slow_start", to.score.slow_start, milliseconds(1), minutes(10));
   reader.read_number("/routing/link_bytes_per_second", to.link.rate, 0, 1e10);
--- a/nutmegarch/node/node_state.h
+++ b/nutmegarch/node/node_state.h
@@ -14,6 +14,7 @@
 #include "nutmegarch/observe/metrics.h"
 #include "nutmegarch/observe/timeline.h"
 #include "nutmegarch/policy/downstream_levels.h"
+#include "nutmegarch/policy/inner_routes.h"
 #include "nutmegarch/policy/rule_gate.h"
 #include "nutmegarch/routes/route_table.h"
 #include "nutmegarch/routes/split_choice.h"
@@ -57,6 +58,7 @@
   std::shared_ptr<const routes::route_table> routes;
   routes::split_choice splits;
   request_log requests;
+  policy::inner_routes inner;
   /// Published processes of the target beside this node; true for those that leave or have left.
   std::map<std::string, bool> local_instances;
   /// Calls that each rule touched since it is in force, by line.
--- a/nutmegarch/node/outbound_path.cpp
+++ b/nutmegarch/node/outbound_path.cpp
@@ -122,6 +122,7 @@
         build_routed_call(state_, *state_.dialect, *pending.request, state_.clock.now());
     if (std::holds_alternative<built_call>(built)) {
       pending.built = std::get<built_call>(std::move(built));
+      place_in_chain(pending.built);
     } else {
       refused = std::get<call_reason>(built);
       state_.counts.on_outbound(call_class::browse, call_outcome::not_run, refused, duration{});
@@ -137,6 +138,21 @@
   start_call(std::move(pending));
 }
 
+void outbound_path::place_in_chain(built_call& built) {
+  call_context& context = built.context;
+  const std::optional<parent_call> parent = local_->find_parent_by_deadline(built.caller_deadline);
+  state_.inner.on_call(context.route, parent.has_value());
+  context.inner = state_.inner.is_inner(context.route);
+  if (!parent || !context.inner) {
+    return;
+  }
+  // Every hop of a chain sheds the same requests, so that a chain is shed as a whole.
+  context.cls = parent->context.cls;
+  context.shed_rank = parent->context.shed_rank;
+  context.depth = static_cast<std::uint8_t>(std::min(255, parent->context.depth + 1));
+  state_.downstream.on_called(parent->context.route, context.service, context.route);
+}
+
 duration outbound_path::come_back_after(const policy::outbound_call& call, time_point now) {
   const duration left = call.caller_deadline == never ? longest_come_back : call.caller_deadline - now;
   const duration most = std::min(longest_come_back, left / 3);
--- a/nutmegarch/node/outbound_path.h
+++ b/nutmegarch/node/outbound_path.h
@@ -60,6 +60,9 @@
   void start_call(pending_call pending);
   /// Starts a call by the published routes, or refuses it.
   void start_routed(pending_call pending);
+  /// Finds out whether the local target makes the call, and for which of the calls that it runs. Holds the
+  /// state's lock.
+  void place_in_chain(built_call& built);
   /// When the caller of a refused call may ask again. Spread, so that callers do not return together. Holds
   /// the state's lock.
   duration come_back_after(const policy::outbound_call& call, time_point now);
--- a/nutmegarch/node/published_path.cpp
+++ b/nutmegarch/node/published_path.cpp
@@ -16,6 +16,8 @@
 constexpr const char* configuration_document = "published-configuration";
 /// Most unreadable entries that are remembered as logged.
 constexpr std::size_t most_unreadable = 1024;
+/// Part of the fleet's retry budget that the nodes plan with.
+constexpr double budget_share = 0.5;
 /// Most changed routes of one configuration that are logged by name.
 constexpr int most_logged_routes = 32;
 
@@ -243,10 +245,12 @@
     host.region = region == state_.settings.regions.end() ? std::string() : region->second;
     host.host = host_part(host.address);
     host.peers = host.host + ':' + peers_port_;
+    host.revision = item.revision;
     newest[host.instance] = host;
     hosts.push_back(std::move(host));
   }
   newest_ = std::move(newest);
+  membership::keep_newest_by_address(hosts);
   return hosts;
 }
 
@@ -271,6 +275,7 @@
   }
   addresses.erase(state_.settings.listen.peers);
   state_.gossip.set_peers({addresses.begin(), addresses.end()});
+  share_retry_budget(addresses.size() + 1);
   state_.endpoints.on_report({state_.settings.identity.host, state_.incarnation, state_.leaving});
   apply_own_target(hosts);
   export_hosts();
@@ -300,6 +305,18 @@
   leaving_by_instance_ = std::move(leaving);
 }
 
+void published_path::share_retry_budget(std::size_t nodes) {
+  const fleet_retry_settings& budget = state_.settings.fleet_retries;
+  if (budget.ratio == 0) {
+    return;
+  }
+  // Views of the fleet differ for a while, and repeats of other nodes count in the same window.
+  policy::bucket_settings bucket = state_.settings.routing.retries;
+  bucket.per_success = budget.ratio * budget_share;
+  bucket.capacity = std::max(1.0, budget.slack * budget_share / static_cast<double>(nodes));
+  state_.sender.set_retry_bucket(bucket);
+}
+
 void published_path::apply_own_target(const std::vector<membership::published_host>& hosts) {
   for (const membership::published_host& host : hosts) {
     if (host.address != state_.settings.target.address) {
--- a/nutmegarch/node/published_path.h
+++ b/nutmegarch/node/published_path.h
@@ -25,6 +25,8 @@
   void on_time();
   /// The process stood still: connections may be dead, and the view is old.
   void on_pause();
+  /// The store can't be read now, or has not been read yet. Holds the state's lock.
+  bool needs_peers() const { return reader_.failures() > 0 || held_.revision() == 0 || !state_.routes; }
   /// Takes a document that a peer passed on. True when it was news. Holds the state's lock.
   bool take(const membership::document& offered);
 
@@ -43,6 +45,8 @@
   void apply_hosts(const std::string& from);
   std::vector<membership::published_host> read_hosts();
   void apply_own_target(const std::vector<membership::published_host>& hosts);
+  /// Sets this node's part of the retries that the fleet may make.
+  void share_retry_budget(std::size_t nodes);
   void export_hosts();
 
   node_state& state_;
--- a/nutmegarch/policy/downstream_levels.cpp
+++ b/nutmegarch/policy/downstream_levels.cpp
@@ -47,6 +47,15 @@
   called->second.calls += 1;
 }
 
+bool downstream_levels::calls_on(const std::string& route) const {
+  auto found = routes_.find(route);
+  return found != routes_.end() &&
+         std::any_of(found->second.callees.begin(), found->second.callees.end(),
+                     [&](const std::pair<const std::string, callee>& called) {
+                       return called.second.calls >= least_share * found->second.started;
+                     });
+}
+
 admission_level downstream_levels::level_below(const std::string& route, const sender& calls,
                                                time_point now) const {
   admission_level lowest;
--- a/nutmegarch/policy/downstream_levels.h
+++ b/nutmegarch/policy/downstream_levels.h
@@ -16,6 +16,9 @@
   /// While it ran, the target called `service` on `service_route`.
   void on_called(const std::string& route, const std::string& service, const std::string& service_route);
 
+  /// Calls of the route go on to call others.
+  bool calls_on(const std::string& route) const;
+
   /// The lowest level of the services that at least half of the route's calls go on to call.
   admission_level level_below(const std::string& route, const sender& calls, time_point now) const;
 
--- a/nutmegarch/policy/endpoint.h
+++ b/nutmegarch/policy/endpoint.h
@@ -58,6 +58,8 @@
   int consecutive_losses = 0;
   int ejections = 0;
   time_point ejected_until{};
+  /// Another target process was found at its address; it gets no calls until then.
+  time_point gone_until{};
   /// @}
 
   /// No new work may go there.
--- a/nutmegarch/policy/inbound_call.h
+++ b/nutmegarch/policy/inbound_call.h
@@ -22,6 +22,8 @@
   /// After this moment nobody waits for the answer.
   time_point deadline = never;
   time_point started{};
+  /// Class by which the call waits for a slot.
+  call_class waits_as = call_class::browse;
   /// The call counts against the share of long calls.
   bool is_long = false;
 };
--- a/nutmegarch/policy/receiver.cpp
+++ b/nutmegarch/policy/receiver.cpp
@@ -36,6 +36,9 @@
     return;
   }
 
+  // Work was spent on the call above an inner one: it waits with the most important calls.
+  call->waits_as = call->context.inner ? call_class::order : call->context.cls;
+
   // Refuse what the level, the deadline or a planned stop rules out.
   levels_.on_offer(call->context.cls, call->context.shed_rank);
   const call_reason reason = reason_to_refuse(*call, now);
@@ -145,12 +148,13 @@
   if (leaving_) {
     return call_reason::leaving;
   }
-  if (!admits(levels_.level(), call.context.cls, call.context.shed_rank)) {
+  // The level sheds at the entry of a chain, before any work was spent on it.
+  if (!call.context.inner && !admits(levels_.level(), call.context.cls, call.context.shed_rank)) {
     return call_reason::shed_level;
   }
 
   // The wait is estimated from the calls that go before this one.
-  const int ahead = short_queue_->size_up_to(call.context.cls);
+  const int ahead = short_queue_->size_up_to(call.waits_as);
   const duration wait = from_seconds(seconds(all_routes_.mean()) * ahead / std::max(1, limit_->value()));
   const duration service = service_time(call.context.route, settings_.finish_quantile);
   if (call.deadline != never && now + wait + service > call.deadline) {
@@ -163,14 +167,14 @@
   if (waiting() < queue_capacity()) {
     return true;
   }
-  const std::uint16_t position = level_position(call.context.cls, call.context.shed_rank);
+  const std::uint16_t position = level_position(call.waits_as, call.context.shed_rank);
   inbound_call_ptr evicted = short_queue_->evict_below(position);
   if (!evicted) {
     evicted = long_queue_->evict_below(position);
   }
   if (!evicted) {
     // Orders alone fill the queue: they may wait longer, as far as their deadlines allow.
-    return call.context.cls == call_class::order && waiting() < order_capacity();
+    return call.waits_as == call_class::order && waiting() < order_capacity();
   }
   refuse(evicted, call_reason::queue_full, actions);
   return true;
--- a/nutmegarch/policy/retry_budget.h
+++ b/nutmegarch/policy/retry_budget.h
@@ -60,6 +60,12 @@
  public:
   explicit retry_bucket(const bucket_settings& settings) : settings_(settings), tokens_(settings.capacity) {}
 
+  /// Replaces the settings; what is held stays, up to the new capacity.
+  void set(const bucket_settings& settings) {
+    settings_ = settings;
+    tokens_ = std::min(tokens_, settings.capacity);
+  }
+
   void on_success() { tokens_ = std::min(settings_.capacity, tokens_ + settings_.per_success); }
 
   /// True when a whole token is there, over what is kept for orders.
--- a/nutmegarch/policy/sender.cpp
+++ b/nutmegarch/policy/sender.cpp
@@ -41,6 +41,13 @@
   return found == services_.end() ? nullptr : &found->second.endpoints();
 }
 
+void sender::set_retry_bucket(const bucket_settings& settings) {
+  settings_.retries = settings;
+  for (std::pair<const std::string, service_state>& entry : services_) {
+    entry.second.retries.set(settings);
+  }
+}
+
 void sender::forget_reports() {
   for (std::pair<const std::string, service_state>& entry : services_) {
     entry.second.forget_reports();
@@ -96,6 +103,9 @@
 
   // Learn from the answer, also when it comes too late for the caller.
   service_state& service = state_of(call->context.service);
+  if (answer.reason == call_reason::other_instance) {
+    answered.to->gone_until = now + settings_.gone_time;
+  }
   if (answer.report) {
     service.note_report(*answered.to, call->context.route, answer, now);
   } else {
@@ -184,7 +194,7 @@
   }
 
   // Shed here what lies below would refuse, before any work or byte is spent on it.
-  if (service.is_shed_below(call.context, now)) {
+  if (!call.context.inner && service.is_shed_below(call.context, now)) {
     return {nullptr, call_reason::shed_level};
   }
 
@@ -192,10 +202,11 @@
   bool shed = false;
   endpoint* last_resort = nullptr;
   for (const endpoint_ptr& known : service.endpoints()) {
-    if (known->leaving() || was_tried(call, *known)) {
+    if (known->leaving() || now < known->gone_until || was_tried(call, *known)) {
       continue;
     }
-    if (now < known->level_expires && !admits(known->level, call.context.cls, call.context.shed_rank)) {
+    if (!call.context.inner && now < known->level_expires &&
+        !admits(known->level, call.context.cls, call.context.shed_rank)) {
       shed = true;
       continue;
     }
@@ -291,7 +302,12 @@
   service_state& service = state_of(call->context.service);
   const selection selected = select(service, *call, now);
   // Only a target's second arrival is paid for: a refusal by the node beside it has cost the target nothing.
+  // A call that makes calls of its own repeats them, too, unless it was refused before it ran.
   const bool is_free = call->arrivals == 0;
+  if (settings_.retries_leaves_only && call->may_have_run && service.calls_on(call->context.route)) {
+    complete(call, known, call->last_refusal, 0, now, actions);
+    return;
+  }
   const bool paid = selected.chosen != nullptr &&
                     (is_free || (service.retries.has_token(call->context.cls) && call->ledger->withdraw()));
   if (!paid) {
--- a/nutmegarch/policy/sender.h
+++ b/nutmegarch/policy/sender.h
@@ -45,6 +45,8 @@
   /// Adds or replaces the endpoints of a service. The caller keeps the objects of endpoints that stay.
   void set_endpoints(const std::string& service, std::vector<endpoint_ptr> endpoints);
   const std::vector<endpoint_ptr>* endpoints(const std::string& service) const;
+  /// Sets the bucket that pays for retries towards each service.
+  void set_retry_bucket(const bucket_settings& settings);
   /// Forgets what answers said, since it may be old: levels, loads and ejections. Leaving nodes stay leaving.
   void forget_reports();
   /// @}
--- a/nutmegarch/policy/sender_settings.h
+++ b/nutmegarch/policy/sender_settings.h
@@ -17,6 +17,8 @@
   /// Attempts of one call at one hop, the first included.
   std::size_t most_attempts = 3;
   bucket_settings retries;
+  /// A call that may have run is not sent again when its route makes calls of its own.
+  bool retries_leaves_only = false;
   /// Hedges towards one service, as a share of its successes.
   bucket_settings hedges{0.05, 50};
   /// A hedge goes out when the call has waited longer than this share of calls.
@@ -35,6 +37,11 @@
   /// An endpoint is stalled when nothing came for the median latency and this many times the usual gap
   /// between two of its answers.
   double stall_gaps = 4.0;
+  /// An endpoint is not stalled before this time.
+  duration stall_least{};
+  /// An endpoint at whose address another process was found gets no calls for this long; its entry is
+  /// replaced meanwhile.
+  duration gone_time = std::chrono::seconds(3);
   /// Load from which on a nearer endpoint counts as full, so that calls go to another region.
   double spill_load = 1.5;
   byte_bucket_settings link;
--- a/nutmegarch/policy/service_state.cpp
+++ b/nutmegarch/policy/service_state.cpp
@@ -36,7 +36,7 @@
   const duration usual = latency_of(route, 0.5);
   const duration patience =
       usual + from_seconds(settings_.stall_gaps * seconds(usual) / candidate.outstanding);
-  return now - candidate.awaiting_since > patience;
+  return now - candidate.awaiting_since > std::max(patience, settings_.stall_least);
 }
 
 void service_state::note_report(endpoint& from, const std::string& route, const attempt_answer& answer,
--- a/nutmegarch/policy/wait_queue.cpp
+++ b/nutmegarch/policy/wait_queue.cpp
@@ -13,7 +13,7 @@
 void wait_queue::push(const inbound_call_ptr& call) {
   assert(!call->is_linked());
   intrusive_ptr_add_ref(call.get());
-  insert(lists_.at(static_cast<std::size_t>(call->context.cls)), *call);
+  insert(lists_.at(static_cast<std::size_t>(call->waits_as)), *call);
   ++size_;
 }
 
@@ -50,7 +50,7 @@
         worst = &call;
       }
     }
-    if (level_position(worst->context.cls, worst->context.shed_rank) <= position) {
+    if (level_position(worst->waits_as, worst->context.shed_rank) <= position) {
       return nullptr;
     }
     return take(list, *worst);
@@ -59,7 +59,7 @@
 }
 
 void wait_queue::remove(inbound_call& call) {
-  take(lists_.at(static_cast<std::size_t>(call.context.cls)), call);
+  take(lists_.at(static_cast<std::size_t>(call.waits_as)), call);
 }
 
 void wait_queue::take_expired(time_point moment, std::vector<inbound_call_ptr>& expired) {
@@ -111,7 +111,7 @@
 void adaptive_lifo_queue::insert(call_list& list, inbound_call& call) { list.push_back(call); }
 
 inbound_call& adaptive_lifo_queue::next(call_list& list) {
-  const bool newest_first = overloaded() && list.front().context.cls == call_class::browse;
+  const bool newest_first = overloaded() && list.front().waits_as == call_class::browse;
   return newest_first ? list.back() : list.front();
 }
 
--- a/nutmegarch/protocol/codec.cpp
+++ b/nutmegarch/protocol/codec.cpp
@@ -69,6 +69,7 @@
   to.setStamp(stamp);
   to.setAttemptId(from.attempt_id);
   to.setInstance(from.instance);
+  to.setInner(from.inner);
   if (from.ticket) {
     to.setTicketIncarnation(from.ticket->incarnation);
     to.setTicketSequence(from.ticket->sequence);
@@ -106,6 +107,7 @@
   }
   to.attempt_id = text_of(from.getAttemptId());
   to.instance = text_of(from.getInstance());
+  to.inner = from.getInner();
   call.stamp = from.getStamp();
   return call;
 }
--- a/nutmegarch/protocol/peer.capnp
+++ b/nutmegarch/protocol/peer.capnp
@@ -26,6 +26,7 @@
   stamp @16 :UInt64;
   attemptId @17 :Text;
   instance @18 :Text;
+  inner @19 :Bool;
 }
 
 struct Header {
--- a/nutmegarch/protocol/peer.capnp.h
+++ b/nutmegarch/protocol/peer.capnp.h
@@ -371,6 +371,8 @@
   inline bool hasInstance() const;
   inline  ::capnp::Text::Reader getInstance() const;
 
+  inline bool getInner() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -476,6 +478,9 @@
   inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownInstance();
 
+  inline bool getInner();
+  inline void setInner(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2359,6 +2364,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool CallContext::Reader::getInner() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<162>() * ::capnp::ELEMENTS);
+}
+
+inline bool CallContext::Builder::getInner() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<162>() * ::capnp::ELEMENTS);
+}
+inline void CallContext::Builder::setInner(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<162>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- /dev/null
+++ b/stand_ins/store_stand_in.cpp
@@ -0,0 +1,155 @@
+#include "stand_ins/store_stand_in.h"
+
+#include <utility>
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <boost/json.hpp>
+
+namespace nutmegarch::stand_ins {
+
+namespace {
+
+/// Items of one page. Small, so that tests see more than one.
+constexpr std::size_t page_size = 3;
+
+std::string to_base64(const std::string& bytes) {
+  namespace iterators = boost::archive::iterators;
+  using encoder =
+      iterators::base64_from_binary<iterators::transform_width<std::string::const_iterator, 6, 8>>;
+  std::string text(encoder(bytes.begin()), encoder(bytes.end()));
+  text.append((4 - text.size() % 4) % 4, '=');
+  return text;
+}
+
+/// The value of a parameter of the query; empty when it is absent.
+std::string parameter(const std::string& target, const std::string& name) {
+  const std::size_t query = target.find('?');
+  std::size_t at = query;
+  while (at != std::string::npos) {
+    const std::size_t begin = at + 1;
+    const std::size_t end = target.find('&', begin);
+    const std::string pair = target.substr(begin, end == std::string::npos ? end : end - begin);
+    if (pair.compare(0, name.size() + 1, name + '=') == 0) {
+      return pair.substr(name.size() + 1);
+    }
+    at = end;
+  }
+  return {};
+}
+
+answer_message as_json(const boost::json::value& body) {
+  return {200, {{"Content-Type", "application/json"}}, boost::json::serialize(body)};
+}
+
+}  // namespace
+
+void store_stand_in::on_request(std::uint64_t, request_message request, reply answer) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ++calls_;
+  if (mode_ == mode::refuses) {
+    answer({503, {}, ""});
+    return;
+  }
+  if (mode_ == mode::silent) {
+    unanswered_.push_back(std::move(answer));
+    return;
+  }
+  const std::string after = parameter(request.target, "after");
+  if (request.target.find("kv-range") != std::string::npos) {
+    answer(list(after));
+    return;
+  }
+  const std::uint64_t revision = after.empty() ? 0 : std::stoull(after);
+  if (revision < history_begin_) {
+    answer({410, {}, ""});
+  } else if (revision < revision_) {
+    answer(changes_after(revision));
+  } else {
+    watches_.push_back({revision, std::move(answer)});
+  }
+}
+
+void store_stand_in::put(const std::string& key, const std::string& value) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  items_[key] = {key, value, revision_ + 1, false};
+  add_change(items_[key]);
+}
+
+void store_stand_in::remove(const std::string& key) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  items_.erase(key);
+  add_change({key, "", revision_ + 1, true});
+}
+
+void store_stand_in::set_mode(mode next) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  mode_ = next;
+  if (next != mode::good) {
+    // Watches that wait are cut with the rest.
+    for (const waiting_watch& watch : watches_) {
+      watch.answer({503, {}, ""});
+    }
+    watches_.clear();
+  }
+}
+
+void store_stand_in::forget_history() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  history_.clear();
+  history_begin_ = revision_;
+}
+
+int store_stand_in::calls() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return calls_;
+}
+
+answer_message store_stand_in::list(const std::string& after) const {
+  boost::json::array items;
+  bool has_more = false;
+  for (auto it = items_.upper_bound(after); it != items_.end(); ++it) {
+    if (items.size() == page_size) {
+      has_more = true;
+      break;
+    }
+    const change& item = it->second;
+    items.push_back(boost::json::object{{"Key", item.key},
+                                        {"Value", to_base64(item.value)},
+                                        {"Revision", item.revision},
+                                        {"CreatedAt", item.revision},
+                                        {"Lease", 0}});
+  }
+  return as_json(boost::json::object{{"items", items}, {"MorePages", has_more}, {"AsOf", revision_}});
+}
+
+answer_message store_stand_in::changes_after(std::uint64_t revision) const {
+  boost::json::array events;
+  for (const change& made : history_) {
+    if (made.revision <= revision) {
+      continue;
+    }
+    if (made.is_removal) {
+      events.push_back(
+          boost::json::object{{"Key", made.key}, {"Revision", made.revision}, {"Tombstone", true}});
+    } else {
+      events.push_back(boost::json::object{
+          {"Key", made.key}, {"Value", to_base64(made.value)}, {"Revision", made.revision}});
+    }
+  }
+  return as_json(boost::json::object{{"events", events}, {"AsOf", revision_}});
+}
+
+void store_stand_in::add_change(change made) {
+  revision_ = made.revision;
+  history_.push_back(std::move(made));
+  if (mode_ != mode::good) {
+    return;
+  }
+  for (const waiting_watch& watch : watches_) {
+    watch.answer(changes_after(watch.after));
+  }
+  watches_.clear();
+}
+
+}  // namespace nutmegarch::stand_ins
--- /dev/null
+++ b/stand_ins/store_stand_in.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "nutmegarch/http/server.h"
+
+namespace nutmegarch::stand_ins {
+
+/// The users' metadata store as its pages describe it, within the test's process: listings by page, watches
+/// that wait for a change, a revision that counts changes. A watch without a change is never answered.
+class store_stand_in final : public http::request_handler {
+ public:
+  /// How the store answers.
+  enum class mode { good, refuses, silent };
+
+  void on_request(std::uint64_t exchange, request_message request, reply answer) override;
+
+  /// @name What the operator and the servers do
+  /// @{
+  void put(const std::string& key, const std::string& value);
+  void remove(const std::string& key);
+  /// @}
+
+  void set_mode(mode next);
+  /// Forgets the changes so far: watches from earlier revisions are answered 410.
+  void forget_history();
+  /// Requests so far, refused ones included.
+  int calls() const;
+
+ private:
+  struct change {
+    std::string key;
+    std::string value;
+    std::uint64_t revision = 0;
+    bool is_removal = false;
+  };
+
+  struct waiting_watch {
+    std::uint64_t after = 0;
+    reply answer;
+  };
+
+  answer_message list(const std::string& after) const;
+  answer_message changes_after(std::uint64_t revision) const;
+  void add_change(change made);
+
+  mutable std::mutex mutex_;
+  std::map<std::string, change> items_;
+  std::vector<change> history_;
+  std::uint64_t revision_ = 1;
+  std::uint64_t history_begin_ = 0;
+  std::vector<waiting_watch> watches_;
+  std::vector<reply> unanswered_;
+  mode mode_ = mode::good;
+  int calls_ = 0;
+};
+
+}  // namespace nutmegarch::stand_ins
