--- a/nutmegarch/membership/published_reader.cpp
+++ b/nutmegarch/membership/published_reader.cpp
@@ -18,6 +18,7 @@
   }
   is_open_ = true;
   store_request request;
+  request.number = ++last_number_;
   if (is_listing_) {
     request.what = store_request::kind::read_page;
     request.after_key = after_key_;
--- a/nutmegarch/membership/published_reader.h
+++ b/nutmegarch/membership/published_reader.h
@@ -20,6 +20,9 @@
   };
 
   kind what = kind::none;
+  /// Tells the requests of one reader apart; the answer to a given-up request must not be taken for
+  /// another's.
+  std::uint64_t number = 0;
   std::string after_key;
   std::uint64_t revision = 0;
   duration wait{};
@@ -64,7 +67,8 @@
   void on_pause();
   /// @}
 
-  bool is_open() const { return is_open_; }
+  /// The request is the one that is open.
+  bool is_open(const store_request& request) const { return is_open_ && request.number == last_number_; }
   /// Failures in a row.
   int failures() const { return failures_; }
   /// Moment of the store's last good answer.
@@ -78,6 +82,7 @@
   published_state& state_;
   random_source& random_;
   bool is_open_ = false;
+  std::uint64_t last_number_ = 0;
   bool is_listing_ = true;
   bool may_be_stale_ = true;
   /// Pages that have come so far, and the least revision at which one of them was read.
--- a/nutmegarch/node/published_path.cpp
+++ b/nutmegarch/node/published_path.cpp
@@ -101,7 +101,7 @@
   {
     const std::lock_guard<std::mutex> lock(state_.mutex);
     const time_point now = state_.clock.now();
-    if (!reader_.is_open()) {
+    if (!reader_.is_open(asked)) {
       return;
     }
     if (succeeded(outcome)) {
--- a/unit_tests/membership/published_state_test.cpp
+++ b/unit_tests/membership/published_state_test.cpp
@@ -116,6 +116,17 @@
   BOOST_TEST(calls <= 16);
 }
 
+// After a pause the open request is given up; its answer may come all the same.
+BOOST_FIXTURE_TEST_CASE(an_answer_to_a_request_that_was_given_up_is_told_apart, fixture) {
+  const store_request first = reader.next(start);
+  reader.on_pause();
+  BOOST_TEST(!reader.is_open(first));
+  const store_request second = reader.next(start);
+  BOOST_REQUIRE((second.what == store_request::kind::read_page));
+  BOOST_TEST(!reader.is_open(first));
+  BOOST_TEST(reader.is_open(second));
+}
+
 BOOST_FIXTURE_TEST_CASE(the_return_of_the_store_starts_the_grace, fixture) {
   reader.next(start);
   reader.on_page({entry("a", 1)}, "", 1, start);
--- a/unit_tests/platform/platform_path_test.cpp
+++ b/unit_tests/platform/platform_path_test.cpp
@@ -113,6 +113,9 @@
 
 /// Two machines with a server and a node each, and the store.
 struct small_platform {
+  /// First, since the store and the servers hold answers whose connections live on it.
+  boost::asio::io_context workers_{1};
+
   small_platform() : work_(boost::asio::make_work_guard(workers_)), store_server_(workers_, {}, store) {
     BOOST_REQUIRE(store_server_.start("127.0.0.1:0"));
     store_address_ = "127.0.0.1:" + std::to_string(store_server_.port());
@@ -213,7 +216,6 @@
     return answer;
   }
 
-  boost::asio::io_context workers_{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
   http::server store_server_;
   std::string store_address_;
