--- a/nutmegarch/policy/sender.cpp
+++ b/nutmegarch/policy/sender.cpp
@@ -220,7 +220,8 @@
   if (!near.empty()) {
     return {service.choose(near, now, random_), call_reason::none};
   }
-  if (!far.empty()) {
+  // Too little time for a near endpoint is too little for one behind a longer way.
+  if (!far.empty() && call.last_refusal != call_reason::deadline) {
     endpoint* const chosen = service.choose(far, now, random_);
     return link_allows(*chosen, call, now) ? selection{chosen, call_reason::none}
                                            : selection{nullptr, call_reason::no_target};
--- a/unit_tests/policy/sender_test.cpp
+++ b/unit_tests/policy/sender_test.cpp
@@ -287,6 +287,22 @@
   BOOST_TEST((actions.back().outcome == call_outcome::not_run));
 }
 
+// Found on the platform: a call with little time left was refused by each endpoint in turn, over the link
+// between regions, too.
+BOOST_FIXTURE_TEST_CASE(a_call_that_came_too_late_for_near_endpoints_is_not_sent_further_away, fixture) {
+  std::vector<endpoint_ptr> endpoints = make_endpoints(2);
+  endpoints.at(1)->distance = proximity::other_region;
+  tested.set_endpoints("s", endpoints);
+  const outbound_call_ptr call = make_call(begin + std::chrono::milliseconds(100), true);
+  tested.start(call, begin, actions);
+  attempt_answer refused = make_answer(call_outcome::not_run, call_reason::deadline);
+  refused.reached_target = false;
+  tested.on_answer(call, 0, refused, begin, actions);
+  BOOST_TEST(call->done);
+  BOOST_TEST(call->attempts.size() == 1U);
+  BOOST_TEST((actions.back().outcome == call_outcome::not_run));
+}
+
 // Found by stopping a process: each hedge hid the silent endpoint, until the hedges were used up.
 BOOST_FIXTURE_TEST_CASE(an_endpoint_that_only_hedges_answer_for_is_ejected, fixture) {
   const std::vector<endpoint_ptr> endpoints = make_endpoints(2);
