--- a/unit_tests/http/http_test.cpp
+++ b/unit_tests/http/http_test.cpp
@@ -297,6 +297,30 @@
   BOOST_TEST(fixture.read_until("to /2").find("Connection: close") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(a_connection_ahead_tells_whether_the_target_is_there_and_serves_the_next_request) {
+  // The peer takes one connection, so the request can only use the one that was opened ahead.
+  raw_peer peer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", raw_peer::ending::open);
+  boost::asio::io_context workers;
+  client_pool pool(workers, peer.address(), client_settings{});
+  bool is_there = false;
+  result<answer_message, client_error> found = client_error::unreachable;
+  pool.connect_ahead([&](bool is_reachable) {
+    is_there = is_reachable;
+    pool.send({"GET", "/", {}, ""}, std::chrono::seconds(1),
+              [&](const result<answer_message, client_error>& outcome) { found = outcome; });
+  });
+  workers.run();
+  BOOST_TEST(is_there);
+  BOOST_REQUIRE(succeeded(found));
+  BOOST_TEST(std::get<answer_message>(found).body == "hi");
+
+  client_pool nowhere(workers, *parse_address(free_address()), client_settings{});
+  nowhere.connect_ahead([&](bool is_reachable) { is_there = is_reachable; });
+  workers.restart();
+  workers.run();
+  BOOST_TEST(!is_there);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_of_an_earlier_request_is_dropped) {
   const raw_peer late(
       "HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 5\r\n\r\nwrong"
