--- a/nutmegarch/observe/timeline.h
+++ b/nutmegarch/observe/timeline.h
@@ -6,6 +6,7 @@
 
 #include "nutmegarch/core/call.h"
 #include "nutmegarch/observe/hybrid_clock.h"
+#include "nutmegarch/observe/line_budget.h"
 
 namespace nutmegarch::observe {
 
@@ -48,24 +49,33 @@
 /// The name of a kind, as "rules-in-force".
 const char* name_of(event_kind kind);
 
+/// True for events that change what the node believes of its targets, its peers or itself.
+bool changes_belief(event_kind kind);
+
 /// The newest events of one node. Any thread may call it.
 class timeline {
  public:
-  timeline(std::size_t capacity, hybrid_clock& clock) : capacity_(capacity), clock_(clock) {}
+  timeline(std::size_t capacity, hybrid_clock& clock);
 
-  /// Adds an event, in place of the oldest when the ring is full.
+  /// Adds an event, in place of the oldest when the ring is full. Events that change what the node believes
+  /// are logged as well, within a budget of lines.
   void add(event_kind kind, const request_id& request, std::string subject, std::string detail);
 
   /// Events with a stamp larger than `after`, the oldest first.
   std::vector<timeline_event> read(std::uint64_t after) const;
 
  private:
+  /// Holds the lock.
+  void log_change(const timeline_event& event);
+
   std::size_t capacity_;
   hybrid_clock& clock_;
-  /// Guards the ring; no other lock is taken while it is held.
+  system_time_source time_;
+  /// Guards the ring and the budget; only the log's own lock is taken while it is held.
   mutable std::mutex mutex_;
   std::vector<timeline_event> ring_;
   std::size_t next_ = 0;
+  line_budget lines_;
 };
 
 /// A request id in hexadecimal, as in traceparent.
--- a/nutmegarch/policy/routing_choice.cpp
+++ b/nutmegarch/policy/routing_choice.cpp
@@ -8,6 +8,30 @@
 
 /// Part of the full work that an endpoint gets at the very start of its slow start.
 constexpr double coldest_share = 0.1;
+/// Growth of the expected time for each unit of load below the crowded one: breaks ties between endpoints
+/// that are equally fast.
+constexpr double uncrowded_growth = 0.05;
+/// Lowest slowness and weight that are reckoned with.
+constexpr double least_slowness = 0.1;
+constexpr double least_weight = 0.01;
+
+/// The candidate with the least score. The search starts at a random place, so that equals share the work.
+template <typename Score>
+endpoint* choose_least(const std::vector<endpoint*>& candidates, random_source& random, Score score) {
+  const std::size_t count = candidates.size();
+  const std::size_t offset = random.below(count);
+  endpoint* best = nullptr;
+  double best_score = 0;
+  for (std::size_t i = 0; i < count; ++i) {
+    endpoint* const candidate = candidates.at((offset + i) % count);
+    const double found = score(*candidate);
+    if (best == nullptr || found < best_score) {
+      best = candidate;
+      best_score = found;
+    }
+  }
+  return best;
+}
 
 }  // namespace
 
@@ -21,7 +45,7 @@
   // A cold endpoint seems fuller than it is, so that it gets less.
   const double warm =
       std::clamp(seconds(now - candidate.joined) / seconds(settings.slow_start), coldest_share, 1.0);
-  load /= warm * std::max(candidate.weight, 0.01);
+  load /= warm * std::max(candidate.weight, least_weight);
   if (candidate.distance >= proximity::same_region) {
     load += settings.domain_penalty;
   }
@@ -47,20 +71,8 @@
 
 endpoint* least_loaded_choice::choose(const std::vector<endpoint*>& candidates, time_point now,
                                       random_source& random) {
-  // Start at a random place, so that equals share the work.
-  const std::size_t count = candidates.size();
-  const std::size_t offset = random.below(count);
-  endpoint* best = nullptr;
-  double best_score = 0;
-  for (std::size_t i = 0; i < count; ++i) {
-    endpoint* const candidate = candidates.at((offset + i) % count);
-    const double score = score_of(*candidate, settings_, now);
-    if (best == nullptr || score < best_score) {
-      best = candidate;
-      best_score = score;
-    }
-  }
-  return best;
+  return choose_least(candidates, random,
+                      [&](const endpoint& candidate) { return score_of(candidate, settings_, now); });
 }
 
 double expected_time_of(const endpoint& candidate, const score_settings& settings, time_point now) {
@@ -71,8 +83,8 @@
   const double load = is_fresh ? candidate.carried_load +
                                      (candidate.outstanding - candidate.outstanding_at_report + 1) / slots
                                : (candidate.outstanding + 1) / slots;
-  double time = std::max(candidate.slowness, 0.1);
-  time *= 1 + settings.crowding * std::max(0.0, load - settings.crowded_load) + 0.05 * load;
+  double time = std::max(candidate.slowness, least_slowness);
+  time *= 1 + settings.crowding * std::max(0.0, load - settings.crowded_load) + uncrowded_growth * load;
 
   // A cold endpoint gets less work than its load alone would bring it.
   const bool is_cold = now < candidate.cold_until;
@@ -82,24 +94,13 @@
   } else if (candidate.distance == proximity::other_region) {
     time *= settings.region_factor;
   }
-  return time / std::max(candidate.weight, 0.01);
+  return time / std::max(candidate.weight, least_weight);
 }
 
 endpoint* least_time_choice::choose(const std::vector<endpoint*>& candidates, time_point now,
                                     random_source& random) {
-  const std::size_t count = candidates.size();
-  const std::size_t offset = random.below(count);
-  endpoint* best = nullptr;
-  double best_time = 0;
-  for (std::size_t i = 0; i < count; ++i) {
-    endpoint* const candidate = candidates.at((offset + i) % count);
-    const double time = expected_time_of(*candidate, settings_, now);
-    if (best == nullptr || time < best_time) {
-      best = candidate;
-      best_time = time;
-    }
-  }
-  return best;
+  return choose_least(candidates, random,
+                      [&](const endpoint& candidate) { return expected_time_of(candidate, settings_, now); });
 }
 
 std::unique_ptr<routing_choice> make_routing_choice(routing_kind kind, const score_settings& settings) {
--- a/unit_tests/docs/docs_test.cpp
+++ b/unit_tests/docs/docs_test.cpp
@@ -1,3 +1,4 @@
+#include <filesystem>
 #include <fstream>
 #include <regex>
 #include <set>
@@ -63,6 +64,29 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(every_log_line_is_on_its_page) {
+  const std::string page = read_file("docs/LOGS.md");
+  const std::filesystem::path folder = std::filesystem::path(SOURCE_FOLDER) / "nutmegarch";
+  std::set<std::string> in_code;
+  for (const std::filesystem::directory_entry& entry :
+       std::filesystem::recursive_directory_iterator(folder)) {
+    if (entry.path().extension() == ".cpp") {
+      const std::string path = std::filesystem::relative(entry.path(), SOURCE_FOLDER);
+      in_code.merge(matches(read_file(path), "log_event\\([^\"]*\"([a-z-]+)\""));
+    }
+  }
+  for (int i = 0; i < event_kind_count; ++i) {
+    const observe::event_kind kind = static_cast<observe::event_kind>(i);
+    if (observe::changes_belief(kind)) {
+      in_code.insert(observe::name_of(kind));
+    }
+  }
+  BOOST_TEST(in_code.size() > 20U);
+  for (const std::string& name : in_code) {
+    BOOST_TEST(page.find('`' + name + '`') != std::string::npos, name);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(every_page_of_the_index_exists) {
   for (const std::string& page : matches(read_file("docs/README.md"), "\\(([A-Za-z/]+\\.md)\\)")) {
     read_file("docs/" + page);
