Let a small bucket of retries serve calls of every class

Cause: a node of a large fleet holds one token of the fleet's retries, of which a quarter was kept for orders: no other call could ever be repeated. Test: a_small_bucket_serves_calls_of_every_class, failed before.

--- a/nutmegarch/policy/retry_budget.h
+++ b/nutmegarch/policy/retry_budget.h
@@ -71,7 +71,8 @@
   /// True when a whole token is there, over what is kept for orders.
   bool has_token(call_class cls) const {
     const double kept = cls == call_class::order ? 0 : settings_.kept_for_orders * settings_.capacity;
-    return tokens_ >= 1 + kept;
+    // A small bucket, as nodes of a large fleet have, keeps nothing: else no other call could ever use it.
+    return tokens_ >= std::min(1 + kept, std::max(1.0, settings_.capacity));
   }
 
   /// Pays for one extra attempt; false when there is no token for it.
--- a/unit_tests/policy/retry_test.cpp
+++ b/unit_tests/policy/retry_test.cpp
@@ -168,6 +168,15 @@
   RC_ASSERT(ledger.tokens() + outside <= tokens);
 }
 
+// A node of a large fleet holds a token or less of the fleet's retries.
+BOOST_AUTO_TEST_CASE(a_small_bucket_serves_calls_of_every_class) {
+  for (const double capacity : {0.5, 1.0, 1.2}) {
+    retry_bucket bucket({1.0, capacity, 0.25});
+    bucket.on_success();
+    BOOST_TEST(bucket.has_token(call_class::browse) == (capacity >= 1), capacity);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(the_bucket_refills_by_successes_only) {
   retry_bucket bucket({0.5, 4, 0.25});
   BOOST_TEST(bucket.withdraw(call_class::browse));
