Find inner routes by calls that a parent cuts short, and parents by what calls look like

Cause: a call below another ends with it only when the route's own patience (700 ms at the end of the chain) is not shorter. Change: calls with the route's longest patience say nothing of parents; where a route is inner and the deadline names no parent, the running call that went on last and has called that route before is taken.

--- a/nutmegarch/node/call_builder.h
+++ b/nutmegarch/node/call_builder.h
@@ -13,6 +13,9 @@
   time_point deadline = never;
   /// The inbound call whose target makes this one.
   std::optional<parent_call> parent;
+  /// Key of the inbound call below which the target seems to make this one; 0 for none. Unlike `parent` it is
+  /// found by what calls look like.
+  std::uint64_t below = 0;
   /// The route is marked as an order by a rule.
   bool is_order = false;
   bool may_hedge = true;
--- a/nutmegarch/node/inbound_path.cpp
+++ b/nutmegarch/node/inbound_path.cpp
@@ -149,7 +149,11 @@
   if (found == calls_.end() || found->second.call->phase != policy::inbound_phase::running) {
     return std::nullopt;
   }
-  return parent_call{found->second.call->context, found->second.ledger, found->second.call->deadline};
+  return as_parent(key->second, found->second);
+}
+
+parent_call inbound_path::as_parent(std::uint64_t key, const entry& running) {
+  return {key, running.call->context, running.ledger, running.call->deadline};
 }
 
 std::optional<parent_call> inbound_path::find_parent_by_deadline(time_point deadline) const {
@@ -161,12 +165,48 @@
     auto found = calls_.find(at->second);
     if (found != calls_.end() && distance <= least) {
       least = distance;
-      nearest = parent_call{found->second.call->context, found->second.ledger, found->second.call->deadline};
+      nearest = as_parent(at->second, found->second);
     }
   }
   return nearest;
 }
 
+std::optional<parent_call> inbound_path::find_likely_parent(const std::string& service,
+                                                            const std::string& route,
+                                                            time_point deadline) const {
+  const entry* likely = nullptr;
+  std::uint64_t likely_key = 0;
+  auto at = by_deadline_.lower_bound({deadline - deadline_tolerance, 0});
+  for (; at != by_deadline_.end(); ++at) {
+    auto found = calls_.find(at->second);
+    if (found == calls_.end() || found->second.open_children > 0) {
+      continue;
+    }
+    const entry& running = found->second;
+    const bool is_later = likely == nullptr || running.went_on > likely->went_on;
+    if (is_later && state_.downstream.has_called(running.call->context.route, service, route)) {
+      likely = &running;
+      likely_key = at->second;
+    }
+  }
+  return likely == nullptr ? std::nullopt : std::optional<parent_call>(as_parent(likely_key, *likely));
+}
+
+void inbound_path::on_child_began(std::uint64_t parent) {
+  auto found = calls_.find(parent);
+  if (found != calls_.end()) {
+    ++found->second.open_children;
+  }
+}
+
+void inbound_path::on_child_ended(std::uint64_t parent, time_point now) {
+  auto found = calls_.find(parent);
+  if (found != calls_.end()) {
+    --found->second.open_children;
+    found->second.went_on = now;
+  }
+}
+
 void inbound_path::note_child(const request_id& parent, const std::string& service,
                               const std::string& route) {
   const std::optional<parent_call> found = find_parent(parent);
@@ -354,6 +394,7 @@
     if (call->deadline != never) {
       by_deadline_.insert({call->deadline, call->key});
     }
+    found->second.went_on = now;
     patience = call->deadline == never ? state_.settings.calls.longest_timeout : call->deadline - now;
     state_.events.add(observe::event_kind::call_started, call->context.id, call->context.route, "");
   }
--- a/nutmegarch/node/inbound_path.h
+++ b/nutmegarch/node/inbound_path.h
@@ -15,6 +15,7 @@
 
 /// What a child call takes over from the inbound call that its target runs.
 struct parent_call {
+  std::uint64_t key = 0;
   call_context context;
   policy::retry_ledger_ptr ledger;
   time_point deadline = never;
@@ -47,6 +48,17 @@
   /// The running call that ends at the moment at which a call of the target expires: a target's calls expire
   /// with the call that it runs. Nothing when there is none. Holds the state's lock.
   std::optional<parent_call> find_parent_by_deadline(time_point deadline) const;
+  /// The running call below which the target most likely makes a call that tells nothing of its parent: of
+  /// those whose routes have called `service` on `route` before and that wait for no other call, the one that
+  /// went on last. Nothing when there is none. Holds the state's lock.
+  std::optional<parent_call> find_likely_parent(const std::string& service, const std::string& route,
+                                                time_point deadline) const;
+  /// @name Calls below a running one
+  /// Both hold the state's lock. `parent` may have ended.
+  /// @{
+  void on_child_began(std::uint64_t parent);
+  void on_child_ended(std::uint64_t parent, time_point now);
+  /// @}
   /// The parent's target calls `service` on `route`. Holds the state's lock.
   void note_child(const request_id& parent, const std::string& service, const std::string& route);
   /// True when no call runs or waits. Takes the state's lock.
@@ -66,6 +78,9 @@
     /// Number of the exchange with the target; 0 before it has begun.
     std::uint64_t exchange = 0;
     bool is_cancelled = false;
+    /// Calls below it that have not ended, and when the target last went on with it.
+    int open_children = 0;
+    time_point went_on{};
     /// It repeats an order that runs, and is answered with it.
     bool waits_for_first = false;
   };
@@ -101,6 +116,7 @@
   void settle_order(const entry& ended, const protocol::peer_answer& content, time_point now);
   void fill_report(protocol::peer_answer& content, const std::string& route) const;
   int live_targets() const;
+  static parent_call as_parent(std::uint64_t key, const entry& running);
 
   node_state& state_;
   http::client_pool target_;
--- a/nutmegarch/node/outbound_path.cpp
+++ b/nutmegarch/node/outbound_path.cpp
@@ -118,11 +118,12 @@
   call_reason refused = call_reason::none;
   {
     const std::lock_guard<std::mutex> lock(state_.mutex);
+    const time_point now = state_.clock.now();
     std::variant<built_call, call_reason> built =
-        build_routed_call(state_, *state_.dialect, *pending.request, state_.clock.now());
+        build_routed_call(state_, *state_.dialect, *pending.request, now);
     if (std::holds_alternative<built_call>(built)) {
       pending.built = std::get<built_call>(std::move(built));
-      place_in_chain(pending.built);
+      place_in_chain(pending.built, now);
     } else {
       refused = std::get<call_reason>(built);
       state_.counts.on_outbound(call_class::browse, call_outcome::not_run, refused, duration{});
@@ -138,14 +139,19 @@
   start_call(std::move(pending));
 }
 
-void outbound_path::place_in_chain(built_call& built) {
+void outbound_path::place_in_chain(built_call& built, time_point now) {
   call_context& context = built.context;
-  const std::optional<parent_call> parent = local_->find_parent_by_deadline(built.caller_deadline);
-  state_.inner.on_call(context.route, parent.has_value());
+  std::optional<parent_call> parent = local_->find_parent_by_deadline(built.caller_deadline);
+  state_.inner.on_call(context.route, built.caller_deadline - now, parent.has_value());
   context.inner = state_.inner.is_inner(context.route);
+  if (context.inner && !parent) {
+    parent = local_->find_likely_parent(context.service, context.route, built.caller_deadline);
+  }
   if (!parent || !context.inner) {
     return;
   }
+  built.below = parent->key;
+  local_->on_child_began(parent->key);
   // Every hop of a chain sheds the same requests, so that a chain is shed as a whole.
   context.cls = parent->context.cls;
   context.shed_rank = parent->context.shed_rank;
@@ -178,6 +184,7 @@
     call->context = std::move(pending.built.context);
     entry made;
     made.call = call;
+    made.below = pending.built.below;
     made.request = std::move(pending.request);
     made.answer = std::move(pending.answer);
     calls_.emplace(pending.key, std::move(made));
@@ -333,6 +340,7 @@
     }
     ended = std::move(found->second);
     calls_.erase(found);
+    local_->on_child_ended(ended.below, state_.clock.now());
     if (state_.dialect) {
       state_.requests.on_completed(*action.call, action.outcome, action.reason,
                                    state_.configuration_version(), state_.clock.now());
--- a/nutmegarch/node/outbound_path.h
+++ b/nutmegarch/node/outbound_path.h
@@ -47,6 +47,8 @@
     /// Answers of the target by attempt, until the call is complete.
     std::unordered_map<std::size_t, protocol::peer_answer> answers;
     std::string last_rule;
+    /// Key of the inbound call below which the target makes this one; 0 for none.
+    std::uint64_t below = 0;
   };
 
   /// A call that is read and not yet started.
@@ -62,7 +64,7 @@
   void start_routed(pending_call pending);
   /// Finds out whether the local target makes the call, and for which of the calls that it runs. Holds the
   /// state's lock.
-  void place_in_chain(built_call& built);
+  void place_in_chain(built_call& built, time_point now);
   /// When the caller of a refused call may ask again. Spread, so that callers do not return together. Holds
   /// the state's lock.
   duration come_back_after(const policy::outbound_call& call, time_point now);
--- a/nutmegarch/policy/downstream_levels.cpp
+++ b/nutmegarch/policy/downstream_levels.cpp
@@ -13,6 +13,10 @@
 /// A service counts when this share of the route's calls goes on to call it.
 constexpr double least_share = 0.5;
 
+std::string key_of(const std::string& service, const std::string& service_route) {
+  return service + ' ' + service_route;
+}
+
 }  // namespace
 
 void downstream_levels::on_started(const std::string& route) {
@@ -36,7 +40,7 @@
   if (found == routes_.end()) {
     return;
   }
-  const std::string key = service + ' ' + service_route;
+  const std::string key = key_of(service, service_route);
   auto called = found->second.callees.find(key);
   if (called == found->second.callees.end()) {
     if (found->second.callees.size() >= most_callees) {
@@ -47,6 +51,12 @@
   called->second.calls += 1;
 }
 
+bool downstream_levels::has_called(const std::string& route, const std::string& service,
+                                   const std::string& service_route) const {
+  auto found = routes_.find(route);
+  return found != routes_.end() && found->second.callees.count(key_of(service, service_route)) != 0;
+}
+
 bool downstream_levels::calls_on(const std::string& route) const {
   auto found = routes_.find(route);
   return found != routes_.end() &&
--- a/nutmegarch/policy/downstream_levels.h
+++ b/nutmegarch/policy/downstream_levels.h
@@ -16,6 +16,10 @@
   /// While it ran, the target called `service` on `service_route`.
   void on_called(const std::string& route, const std::string& service, const std::string& service_route);
 
+  /// Calls of the route have gone on to call `service` on `service_route`.
+  bool has_called(const std::string& route, const std::string& service,
+                  const std::string& service_route) const;
+
   /// Calls of the route go on to call others.
   bool calls_on(const std::string& route) const;
 
--- a/nutmegarch/policy/inner_routes.cpp
+++ b/nutmegarch/policy/inner_routes.cpp
@@ -1,5 +1,7 @@
 #include "nutmegarch/policy/inner_routes.h"
 
+#include <algorithm>
+
 namespace nutmegarch::policy {
 
 namespace {
@@ -12,14 +14,20 @@
 constexpr double least_calls = 4;
 /// Share of calls with a parent from which on a route is an inner one. Chance finds a parent for few.
 constexpr double least_share = 0.5;
+/// Patience is told in whole milliseconds; a call within this of the longest counts as not cut short.
+constexpr duration patience_step = std::chrono::milliseconds(2);
 
 }  // namespace
 
-void inner_routes::on_call(const std::string& route, bool has_parent) {
+void inner_routes::on_call(const std::string& route, duration patience, bool has_parent) {
   if (routes_.size() >= most_routes && routes_.count(route) == 0) {
     routes_.clear();
   }
   route_state& state = routes_[route];
+  state.longest = std::max(state.longest, patience);
+  if (patience + patience_step > state.longest) {
+    return;
+  }
   state.calls += 1;
   state.with_parent += has_parent ? 1 : 0;
   if (state.calls >= fade_after_calls) {
--- a/unit_tests/policy/inner_routes_test.cpp
+++ b/unit_tests/policy/inner_routes_test.cpp
@@ -42,14 +42,30 @@
 BOOST_AUTO_TEST_CASE(a_route_is_inner_when_most_of_its_calls_end_with_a_running_one) {
   inner_routes routes;
   for (int i = 0; i < 100; ++i) {
-    routes.on_call("inner", i % 4 != 0);
-    routes.on_call("root", i % 8 == 0);
+    const duration patience = std::chrono::milliseconds(2000 - 10 * i);
+    routes.on_call("inner", patience, i % 4 != 0);
+    routes.on_call("root", patience, i % 8 == 0);
   }
   BOOST_TEST(routes.is_inner("inner"));
   BOOST_TEST(!routes.is_inner("root"));
   BOOST_TEST(!routes.is_inner("never seen"));
 }
 
+// Found on the platform: calls at the end of a chain wait 700 ms at most, and their parents mostly had more
+// time left, so that they seemed to be requests of callers and were shed in the middle of their chains.
+BOOST_AUTO_TEST_CASE(calls_with_the_routes_own_patience_say_nothing_of_their_parents) {
+  inner_routes routes;
+  constexpr duration own = std::chrono::milliseconds(700);
+  for (int i = 0; i < 100; ++i) {
+    const bool is_cut_short = i % 10 == 0;
+    routes.on_call("inner", is_cut_short ? own / 2 : own, is_cut_short);
+    // Callers that ask again have less time left, and find a parent by chance only.
+    routes.on_call("root", is_cut_short ? own / 2 : own, i % 8 == 0);
+  }
+  BOOST_TEST(routes.is_inner("inner"));
+  BOOST_TEST(!routes.is_inner("root"));
+}
+
 // A service below is overloaded: the level sheds whole requests at their entry, and what has begun ends.
 BOOST_AUTO_TEST_CASE(under_overload_the_level_sheds_requests_at_their_entry_and_no_inner_call) {
   receiver_settings settings;
