Compare regions by expected time, and hold the link's budget to the bytes of calls and answers

The budget of the link counted requests only, in a fixed part for each node. Change: all regions are compared by expected time; the fleet's bytes a second are shared by the number of nodes, and the mean size of a route's answers counts. Beyond the budget a call stays near.

--- a/nutmegarch/node/node_settings.cpp
+++ b/nutmegarch/node/node_settings.cpp
@@ -49,6 +49,7 @@
   reader.read_duration("/store/lapse_grace", to.published.lapse_grace, milliseconds(0), minutes(1));
   reader.read_number("/fleet_retries/ratio", to.fleet_retries.ratio, 0, 1);
   reader.read_number("/fleet_retries/slack", to.fleet_retries.slack, 0, 1e6);
+  reader.read_number("/fleet_link/bytes_per_second", to.fleet_link.bytes_per_second, 0, 1e10);
   reader.read_integer("/platform/readers_per_service", to.platform.readers_per_service, 1, 100);
   reader.read_duration("/platform/watch", to.platform.watch, seconds(1), minutes(5));
 }
--- a/nutmegarch/node/node_settings.h
+++ b/nutmegarch/node/node_settings.h
@@ -91,6 +91,12 @@
   double slack = 0;
 };
 
+/// Bytes that the calls of the whole fleet may take of the link between two regions, both ways together.
+struct fleet_link_settings {
+  /// Bytes a second; 0 for the node's own budget in `routing`.
+  double bytes_per_second = 0;
+};
+
 /// All settings of a node, with their defaults. docs/SETTINGS.md lists them.
 struct node_settings {
   identity_settings identity;
@@ -109,6 +115,7 @@
   membership::published_state_settings published;
   membership::published_reader_settings store;
   fleet_retry_settings fleet_retries;
+  fleet_link_settings fleet_link;
   /// Region of each failure domain.
   std::map<std::string, std::string> regions;
   observe::log_settings log;
--- a/nutmegarch/node/outbound_path.cpp
+++ b/nutmegarch/node/outbound_path.cpp
@@ -36,6 +36,7 @@
   answer.route_level = from.route_level;
   answer.calls_on = from.calls_on;
   answer.reached_target = from.reached_target;
+  answer.size = from.message.body.size() + head_bytes;
   return answer;
 }
 
--- a/nutmegarch/node/published_path.cpp
+++ b/nutmegarch/node/published_path.cpp
@@ -18,6 +18,10 @@
 constexpr std::size_t most_unreadable = 1024;
 /// Part of the fleet's retry budget that the nodes plan with.
 constexpr double budget_share = 0.5;
+/// What a node may send over the link between regions at once: what it may send in this time, or at least
+/// some messages.
+constexpr duration link_burst = std::chrono::seconds(1);
+constexpr double least_link_burst = 16'000;
 /// Most changed routes of one configuration that are logged by name.
 constexpr int most_logged_routes = 32;
 
@@ -276,6 +280,7 @@
   addresses.erase(state_.settings.listen.peers);
   state_.gossip.set_peers({addresses.begin(), addresses.end()});
   share_retry_budget(addresses.size() + 1);
+  share_link(addresses.size() + 1);
   state_.endpoints.on_report({state_.settings.identity.host, state_.incarnation, state_.leaving});
   apply_own_target(hosts);
   export_hosts();
@@ -317,6 +322,16 @@
   state_.sender.set_retry_bucket(bucket);
 }
 
+void published_path::share_link(std::size_t nodes) {
+  if (state_.settings.fleet_link.bytes_per_second == 0) {
+    return;
+  }
+  policy::byte_bucket_settings link = state_.settings.routing.link;
+  link.rate = state_.settings.fleet_link.bytes_per_second / static_cast<double>(nodes);
+  link.capacity = std::max(least_link_burst, link.rate * seconds(link_burst));
+  state_.sender.set_link(link);
+}
+
 void published_path::apply_own_target(const std::vector<membership::published_host>& hosts) {
   for (const membership::published_host& host : hosts) {
     if (host.address != state_.settings.target.address) {
--- a/nutmegarch/node/published_path.h
+++ b/nutmegarch/node/published_path.h
@@ -47,6 +47,8 @@
   void apply_own_target(const std::vector<membership::published_host>& hosts);
   /// Sets this node's part of the retries that the fleet may make.
   void share_retry_budget(std::size_t nodes);
+  /// Sets this node's part of the link between regions.
+  void share_link(std::size_t nodes);
   void export_hosts();
 
   node_state& state_;
--- a/nutmegarch/policy/byte_bucket.h
+++ b/nutmegarch/policy/byte_bucket.h
@@ -22,6 +22,12 @@
   explicit byte_bucket(const byte_bucket_settings& settings)
       : settings_(settings), bytes_(settings.capacity) {}
 
+  /// Replaces the settings; what is held stays, up to the new capacity.
+  void set(const byte_bucket_settings& settings) {
+    settings_ = settings;
+    bytes_ = std::min(bytes_, settings.capacity);
+  }
+
   /// Takes `size` bytes for a call of class `cls`; false when they are not there.
   bool withdraw(double size, call_class cls, time_point now) {
     if (now > refilled_) {
--- a/nutmegarch/policy/sender.cpp
+++ b/nutmegarch/policy/sender.cpp
@@ -112,7 +112,7 @@
     service.note_loss(*answered.to, now);
   }
   if (answer.outcome == call_outcome::ok) {
-    service.note_success(*answered.to, call->context.route, now - answered.sent);
+    service.note_success(*answered.to, call->context.route, now - answered.sent, answer.size);
   }
   if (call->done) {
     return;
@@ -214,23 +214,20 @@
       last_resort = known.get();
       continue;
     }
-    const bool is_far = known->distance == proximity::other_region && !settings_.score.compares_regions;
-    (is_far ? far : near).push_back(known.get());
-  }
-  if (!near.empty()) {
-    return {service.choose(near, now, random_), call_reason::none};
+    (known->distance == proximity::other_region ? far : near).push_back(known.get());
   }
   // Too little time for a near endpoint is too little for one behind a longer way.
-  if (!far.empty() && call.last_refusal != call_reason::deadline) {
-    endpoint* const chosen = service.choose(far, now, random_);
-    return link_allows(*chosen, call, now) ? selection{chosen, call_reason::none}
-                                           : selection{nullptr, call_reason::no_target};
+  if (call.last_refusal == call_reason::deadline) {
+    far.clear();
+  }
+  if (!near.empty() || !far.empty()) {
+    return choose_within_link(service, call, near, far, now);
   }
   if (shed) {
     return {nullptr, call_reason::shed_level};
   }
   // Everything is out: a doubtful endpoint is better than none.
-  if (last_resort != nullptr && link_allows(*last_resort, call, now)) {
+  if (last_resort != nullptr && link_allows(service, *last_resort, call, now)) {
     return {last_resort, call_reason::none};
   }
   return {};
@@ -251,9 +248,24 @@
   return {nullptr, call_reason::ticket_foreign};
 }
 
-bool sender::link_allows(const endpoint& to, const outbound_call& call, time_point now) {
-  return to.distance != proximity::other_region ||
-         link_.withdraw(static_cast<double>(call.size), call.context.cls, now);
+sender::selection sender::choose_within_link(service_state& service, const outbound_call& call,
+                                             const std::vector<endpoint*>& near,
+                                             const std::vector<endpoint*>& far, time_point now) {
+  std::vector<endpoint*> candidates = near;
+  if (near.empty() || settings_.score.compares_regions) {
+    candidates.insert(candidates.end(), far.begin(), far.end());
+  }
+  endpoint* const best = service.choose(candidates, now, random_);
+  if (link_allows(service, *best, call, now)) {
+    return {best, call_reason::none};
+  }
+  return near.empty() ? selection{} : selection{service.choose(near, now, random_), call_reason::none};
+}
+
+bool sender::link_allows(const service_state& service, const endpoint& to, const outbound_call& call,
+                         time_point now) {
+  const double bytes = static_cast<double>(call.size) + service.answer_size(call.context.route);
+  return to.distance != proximity::other_region || link_.withdraw(bytes, call.context.cls, now);
 }
 
 void sender::send(const outbound_call_ptr& call, endpoint& to, bool repeated, bool is_hedge, time_point now,
--- a/nutmegarch/policy/sender.h
+++ b/nutmegarch/policy/sender.h
@@ -47,6 +47,8 @@
   const std::vector<endpoint_ptr>* endpoints(const std::string& service) const;
   /// Sets the bucket that pays for retries towards each service.
   void set_retry_bucket(const bucket_settings& settings);
+  /// Sets this node's part of the link between regions.
+  void set_link(const byte_bucket_settings& settings) { link_.set(settings); }
   /// Forgets what answers said, since it may be old: levels, loads and ejections. Leaving nodes stay leaving.
   void forget_reports();
   /// @}
@@ -93,7 +95,13 @@
   service_state& state_of(const std::string& service);
   selection select(service_state& service, const outbound_call& call, time_point now);
   selection select_ticket_home(const service_state& service, const outbound_call& call) const;
-  bool link_allows(const endpoint& to, const outbound_call& call, time_point now);
+  /// The best of the endpoints; one in another region only when the link has room for the call.
+  selection choose_within_link(service_state& service, const outbound_call& call,
+                               const std::vector<endpoint*>& near, const std::vector<endpoint*>& far,
+                               time_point now);
+  /// Takes the bytes of the call and of its answer from the link's budget, if it crosses the link.
+  bool link_allows(const service_state& service, const endpoint& to, const outbound_call& call,
+                   time_point now);
   void send(const outbound_call_ptr& call, endpoint& to, bool repeated, bool is_hedge, time_point now,
             sender_actions& actions);
   void retry_or_complete(const outbound_call_ptr& call, call_outcome known, time_point now,
--- a/nutmegarch/policy/service_state.cpp
+++ b/nutmegarch/policy/service_state.cpp
@@ -13,6 +13,10 @@
 /// Weight of one answer in the slowness of its endpoint, and the largest ratio that one answer counts for.
 constexpr double slowness_weight = 0.05;
 constexpr double most_slowness = 8;
+/// Weight of one answer in the mean size of a route's answers, and the size that is expected before the
+/// first.
+constexpr double size_weight = 0.1;
+constexpr double assumed_answer_size = 1'000;
 /// Latencies below it are taken as equal.
 constexpr duration least_latency = std::chrono::milliseconds(1);
 
@@ -62,13 +66,17 @@
   }
 }
 
-void service_state::note_success(endpoint& from, const std::string& route, duration latency) {
+void service_state::note_success(endpoint& from, const std::string& route, duration latency,
+                                 std::size_t size) {
   route_state* const known = find_or_add_route(route);
   if (known != nullptr) {
     const double usual = seconds(known->latency.quantile(0.5, latency));
     const double ratio = seconds(latency) / std::max(usual, seconds(least_latency));
     from.slowness += slowness_weight * (std::min(ratio, most_slowness) - from.slowness);
     known->latency.add(latency);
+    const double bytes = static_cast<double>(size);
+    known->answer_size =
+        known->answer_size == 0 ? bytes : known->answer_size + size_weight * (bytes - known->answer_size);
   }
   retries.on_success();
   hedges.on_success();
@@ -137,6 +145,11 @@
   return known == nullptr || known->calls_on;
 }
 
+double service_state::answer_size(const std::string& route) const {
+  const route_state* const known = find_route(route);
+  return known == nullptr || known->answer_size == 0 ? assumed_answer_size : known->answer_size;
+}
+
 duration service_state::hedge_delay(const std::string& route) const {
   return std::max(latency_of(route, settings_.hedge_quantile), settings_.hedge_least_delay);
 }
--- a/nutmegarch/policy/service_state.h
+++ b/nutmegarch/policy/service_state.h
@@ -23,6 +23,8 @@
   admission_level route_level;
   /// Calls of this route make calls of their own, which may need retry tokens.
   bool calls_on = true;
+  /// Bytes of the answer.
+  std::size_t size = 0;
   /// The call was written to the target. A refusal by the node beside it is no arrival there.
   bool reached_target = true;
 };
@@ -51,8 +53,8 @@
   /// @{
   /// An answer with a report has come.
   void note_report(endpoint& from, const std::string& route, const attempt_answer& answer, time_point now);
-  /// A call was answered whole after `latency`.
-  void note_success(endpoint& from, const std::string& route, duration latency);
+  /// A call was answered whole after `latency`, with `size` bytes.
+  void note_success(endpoint& from, const std::string& route, duration latency, std::size_t size);
   /// A call to the endpoint was lost.
   void note_loss(endpoint& from, time_point now);
   /// Forgets levels, loads and ejections, since they may be old.
@@ -68,6 +70,8 @@
   bool is_shed_below(const call_context& context, time_point now) const;
   /// Calls of the route make calls of their own, as far as is known.
   bool calls_on(const std::string& route) const;
+  /// Bytes that an answer of the route is expected to have.
+  double answer_size(const std::string& route) const;
   /// Wait after which a hedge may help.
   duration hedge_delay(const std::string& route) const;
   /// @}
@@ -80,6 +84,8 @@
   /// What answers have told about one route.
   struct route_state {
     latency_tracker latency;
+    /// Mean size of the answers in bytes, by the last ones; 0 before the first.
+    double answer_size = 0;
     /// Lowest level of the services below.
     admission_level level_below;
     time_point level_expires{};
--- a/unit_tests/policy/sender_test.cpp
+++ b/unit_tests/policy/sender_test.cpp
@@ -326,6 +326,37 @@
   BOOST_FAIL("never ejected");
 }
 
+// The near endpoint is crowded and the one of the other region is not: calls go there as far as the link's
+// budget for them and their answers goes, and stay near beyond it.
+BOOST_AUTO_TEST_CASE(calls_go_to_the_other_region_by_expected_time_within_the_links_budget) {
+  sender_settings settings;
+  settings.routing = routing_kind::least_time;
+  settings.score.compares_regions = true;
+  settings.link = {0, 10'000, 0};
+  random_source random(1);
+  sender tested(settings, random);
+  std::vector<endpoint_ptr> endpoints = make_endpoints(2);
+  endpoints.at(1)->distance = proximity::other_region;
+  tested.set_endpoints("s", endpoints);
+  int crossed = 0;
+  for (int i = 0; i < 20; ++i) {
+    endpoints.at(0)->carried_load = 3;
+    endpoints.at(0)->carried_at = begin;
+    const outbound_call_ptr call = make_call(begin + std::chrono::seconds(1), true);
+    call->size = 500;
+    sender_actions actions;
+    tested.start(call, begin, actions);
+    BOOST_REQUIRE(!call->done);
+    crossed += call->attempts.front().to == endpoints.at(1) ? 1 : 0;
+    attempt_answer answer = make_answer(call_outcome::ok);
+    answer.size = 1'500;
+    tested.on_answer(call, 0, answer, begin + std::chrono::milliseconds(1), actions);
+  }
+  // 2,000 bytes a call, but for the first: before its answer the size of answers is only assumed.
+  BOOST_TEST(crossed >= 5);
+  BOOST_TEST(crossed <= 6);
+}
+
 BOOST_AUTO_TEST_CASE(the_link_keeps_room_for_orders) {
   byte_bucket link({1'000, 1'000, 0.3});
   BOOST_TEST(link.withdraw(600, call_class::browse, begin));
