--- a/nutmegarch/policy/level_controller.cpp
+++ b/nutmegarch/policy/level_controller.cpp
@@ -21,8 +21,7 @@
   }
   const admission_level before = level_;
   const bool is_draining = waiting_ < waiting_at_start_;
-  const bool wastes_work = inner_refused_ > settings_.most_refused_inner * inner_offered_;
-  if ((always_standing_ && !is_draining) || wastes_work) {
+  if (always_standing_ && !is_draining) {
     step_down();
   } else if (was_empty_) {
     step_up();
@@ -35,8 +34,6 @@
   waiting_at_start_ = waiting_;
   always_standing_ = true;
   was_empty_ = false;
-  inner_offered_ = 0;
-  inner_refused_ = 0;
   interval_end_ = now + settings_.interval;
   return !(level_ == before);
 }
--- a/nutmegarch/policy/level_controller.h
+++ b/nutmegarch/policy/level_controller.h
@@ -12,9 +12,6 @@
   duration interval = std::chrono::milliseconds(50);
   /// Part of the offered counts that is kept from one interval to the next.
   double memory = 0.95;
-  /// Share of the calls below others that may be refused for their wait in an interval. Beyond it the level
-  /// steps down, since the work that was spent on them is lost.
-  double most_refused_inner = 0.02;
   /// Share of the admitted calls that one step sheds.
   double decrease = 0.05;
   /// Share of the admitted calls that one step adds.
@@ -25,8 +22,7 @@
 };
 
 /// Finds the admission level of one target by what was offered in the last intervals.
-/// Steps the level down while a standing queue does not drain or calls below others are refused for their
-/// wait, and up while nothing waits.
+/// Steps the level down while a standing queue does not drain, and up while nothing waits.
 class level_controller {
  public:
   explicit level_controller(const level_settings& settings) : settings_(settings) {}
@@ -38,11 +34,6 @@
   /// Call it after each change; the least value of an interval counts.
   void on_waiting(int waiting, int standing);
 
-  /// A call below another was offered; and one was refused since it would have waited, or has waited, too
-  /// long.
-  void on_inner_offer() { ++inner_offered_; }
-  void on_inner_refused() { ++inner_refused_; }
-
   /// Steps the level when an interval is over. True when the level changed.
   bool on_time(time_point now);
 
@@ -62,8 +53,6 @@
   int waiting_at_start_ = 0;
   bool always_standing_ = false;
   bool was_empty_ = true;
-  int inner_offered_ = 0;
-  int inner_refused_ = 0;
   time_point interval_end_{};
 };
 
--- a/nutmegarch/policy/receiver.cpp
+++ b/nutmegarch/policy/receiver.cpp
@@ -40,14 +40,7 @@
 
   // Refuse what the level, the deadline or a planned stop rules out.
   levels_.on_offer(call->context.cls, call->context.shed_rank);
-  if (call->context.inner) {
-    levels_.on_inner_offer();
-  }
   const call_reason reason = reason_to_refuse(*call, now);
-  if (reason == call_reason::none && has_no_time_to_wait(*call, now)) {
-    refuse_for_wait(call, call_reason::deadline, actions);
-    return;
-  }
   if (reason != call_reason::none) {
     refuse(call, reason, actions);
     return;
@@ -64,7 +57,7 @@
 
   // Else let it wait, in the place of a less important call when the queue is full.
   if (!make_room(*call, actions)) {
-    refuse_for_wait(call, call_reason::queue_full, actions);
+    refuse(call, call_reason::queue_full, actions);
     return;
   }
   call->phase = inbound_phase::waiting;
@@ -110,7 +103,7 @@
   short_queue_->take_expired(now, expired);
   long_queue_->take_expired(now, expired);
   for (const inbound_call_ptr& call : expired) {
-    refuse_for_wait(call, call_reason::deadline, actions);
+    refuse(call, call_reason::deadline, actions);
   }
 
   // Adapt the level, and the order of the queue to the level.
@@ -159,27 +152,14 @@
     return call_reason::shed_level;
   }
 
-  // Too little time was left when it came.
-  const duration service = service_time(call.context.route, settings_.finish_quantile);
-  if (call.deadline != never && now + service > call.deadline) {
-    return call_reason::deadline;
-  }
-  return call_reason::none;
-}
-
-bool receiver::has_no_time_to_wait(const inbound_call& call, time_point now) const {
   // The wait is estimated from the calls that go before this one.
   const int ahead = short_queue_->size_up_to(call.wait_place);
   const duration wait = from_seconds(seconds(all_routes_.mean()) * ahead / std::max(1, limit_->value()));
   const duration service = service_time(call.context.route, settings_.finish_quantile);
-  return call.deadline != never && now + wait + service > call.deadline;
-}
-
-void receiver::refuse_for_wait(const inbound_call_ptr& call, call_reason reason, receiver_actions& actions) {
-  if (call->context.inner) {
-    levels_.on_inner_refused();
+  if (call.deadline != never && now + wait + service > call.deadline) {
+    return call_reason::deadline;
   }
-  refuse(call, reason, actions);
+  return call_reason::none;
 }
 
 bool receiver::make_room(const inbound_call& call, receiver_actions& actions) {
@@ -195,7 +175,7 @@
     const bool may_wait_longer = call.context.inner || call.context.cls == call_class::order;
     return may_wait_longer && waiting() < order_capacity();
   }
-  refuse_for_wait(evicted, call_reason::queue_full, actions);
+  refuse(evicted, call_reason::queue_full, actions);
   return true;
 }
 
@@ -216,7 +196,7 @@
     const inbound_call_ptr call = queue->pop();
     const duration service = service_time(call->context.route, settings_.finish_quantile);
     if (call->deadline != never && now + service > call->deadline) {
-      refuse_for_wait(call, call_reason::deadline, actions);
+      refuse(call, call_reason::deadline, actions);
       continue;
     }
     start(call, now, actions);
--- a/nutmegarch/policy/receiver.h
+++ b/nutmegarch/policy/receiver.h
@@ -99,12 +99,7 @@
   /// @}
 
  private:
-  /// Why the call can't be taken whatever the queue is; none when it can.
   call_reason reason_to_refuse(const inbound_call& call, time_point now) const;
-  /// The call would end in time if it did not have to wait for those before it.
-  bool has_no_time_to_wait(const inbound_call& call, time_point now) const;
-  /// Refuses a call that would have run if fewer had come.
-  void refuse_for_wait(const inbound_call_ptr& call, call_reason reason, receiver_actions& actions);
   bool make_room(const inbound_call& call, receiver_actions& actions);
   void start(const inbound_call_ptr& call, time_point now, receiver_actions& actions);
   void start_waiting(time_point now, receiver_actions& actions);
