--- a/nutmegarch/membership/published_reader.cpp
+++ b/nutmegarch/membership/published_reader.cpp
@@ -91,7 +91,6 @@
   }
   failures_ = 0;
   is_open_ = false;
-  heard_ = now;
 }
 
 void published_reader::restart(bool may_be_stale) {
--- a/nutmegarch/membership/published_reader.h
+++ b/nutmegarch/membership/published_reader.h
@@ -71,8 +71,6 @@
   bool is_open(const store_request& request) const { return is_open_ && request.number == last_number_; }
   /// Failures in a row.
   int failures() const { return failures_; }
-  /// Moment of the store's last good answer.
-  time_point heard() const { return heard_; }
 
  private:
   void on_answer(time_point now);
@@ -92,7 +90,6 @@
   /// Changes are watched from here on.
   std::uint64_t watched_revision_ = 0;
   time_point not_before_{};
-  time_point heard_{};
   int failures_ = 0;
 };
 
--- a/nutmegarch/membership/published_state.h
+++ b/nutmegarch/membership/published_state.h
@@ -52,8 +52,6 @@
   const std::map<std::string, published_item>& items() const { return items_; }
   /// All changes up to this revision of the store are contained; 0 before the first listing.
   std::uint64_t revision() const { return revision_; }
-  /// When on_time() has something to do.
-  time_point next_timer() const { return lapsed_.empty() ? never : grace_until_; }
 
  private:
   bool put(const published_item& item);
--- a/nutmegarch/node/outbound_path.h
+++ b/nutmegarch/node/outbound_path.h
@@ -23,8 +23,6 @@
 
   /// Lets time pass for open calls.
   void on_time();
-  /// The moment at which on_time() has something to do. Holds the state's lock.
-  time_point next_timer() const { return state_.sender.next_timer(); }
   /// True when no call is open. Takes the state's lock.
   bool is_idle() const;
   /// Calls that have ever begun.
--- a/nutmegarch/node/published_path.cpp
+++ b/nutmegarch/node/published_path.cpp
@@ -22,6 +22,8 @@
 /// some messages.
 constexpr duration link_burst = std::chrono::seconds(1);
 constexpr double least_link_burst = 16'000;
+/// Processes beside this node that are remembered, those that have left included.
+constexpr std::size_t most_local_instances = 64;
 /// Most changed routes of one configuration that are logged by name.
 constexpr int most_logged_routes = 32;
 
@@ -350,6 +352,11 @@
         });
     known.second = known.second || !is_listed;
   }
+  // A call for a process that is forgotten reaches the present one, which refuses it by its name.
+  for (auto it = state_.local_instances.begin();
+       it != state_.local_instances.end() && state_.local_instances.size() > most_local_instances;) {
+    it = it->second ? state_.local_instances.erase(it) : std::next(it);
+  }
 }
 
 void published_path::export_hosts() {
--- a/nutmegarch/policy/sender_settings.h
+++ b/nutmegarch/policy/sender_settings.h
@@ -42,8 +42,6 @@
   /// An endpoint at whose address another process was found gets no calls for this long; its entry is
   /// replaced meanwhile.
   duration gone_time = std::chrono::seconds(3);
-  /// Load from which on a nearer endpoint counts as full, so that calls go to another region.
-  double spill_load = 1.5;
   byte_bucket_settings link;
 };
 
--- a/nutmegarch/routes/route_table.cpp
+++ b/nutmegarch/routes/route_table.cpp
@@ -59,9 +59,4 @@
   return found == by_name_.end() ? nullptr : &configuration_.routes.at(found->second);
 }
 
-const service_options* route_table::find_service(const std::string& service) const {
-  auto found = configuration_.services.find(service);
-  return found == configuration_.services.end() ? nullptr : &found->second;
-}
-
 }  // namespace nutmegarch::routes
--- a/nutmegarch/routes/route_table.h
+++ b/nutmegarch/routes/route_table.h
@@ -24,9 +24,6 @@
   /// The route with this name; null when there is none.
   const route* find_by_name(const std::string& name) const;
 
-  /// Options of a service; null when the configuration names none.
-  const service_options* find_service(const std::string& service) const;
-
  private:
   route_configuration configuration_;
   /// Index of a route by lower-case host, a line feed and prefix.
