Gather changes of the store for longer in a larger fleet

Change: the pause after a watch with changes grows with the square root of the fleet's size, from 250 ms at 16 nodes to 1 s. Test: the_calls_of_all_nodes_grow_more_slowly_than_the_fleet.

--- a/nutmegarch/membership/published_reader.cpp
+++ b/nutmegarch/membership/published_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace nutmegarch::membership {
 
@@ -54,7 +55,7 @@
   on_answer(now);
   watched_revision_ = std::max(watched_revision_, revision);
   if (!changes.empty()) {
-    not_before_ = now + settings_.gather;
+    not_before_ = now + gather();
   }
   return state_.apply(changes, revision, now);
 }
@@ -93,6 +94,12 @@
   is_open_ = false;
 }
 
+duration published_reader::gather() const {
+  const double growth = static_cast<double>(fleet_size_) / settings_.gather_nodes;
+  const duration grown = from_seconds(seconds(settings_.gather) * std::sqrt(std::max(1.0, growth)));
+  return std::min(grown, settings_.longest_gather);
+}
+
 void published_reader::restart(bool may_be_stale) {
   is_listing_ = true;
   may_be_stale_ = may_be_stale;
--- a/nutmegarch/membership/published_reader.h
+++ b/nutmegarch/membership/published_reader.h
@@ -35,8 +35,12 @@
   /// How long a watch waits for changes.
   duration watch = std::chrono::seconds(30);
   /// Pause between the end of a watch with changes and the next one, so that changes that come together are
-  /// fetched together.
+  /// fetched together. It holds for a fleet of `gather_nodes`, and grows with the square root of the fleet's
+  /// size, so that the calls of all grow more slowly than the fleet; at most `longest_gather`, since changes
+  /// are to be in force within 2.5 s.
   duration gather = std::chrono::milliseconds(250);
+  int gather_nodes = 16;
+  duration longest_gather = std::chrono::seconds(1);
   /// Pause after a failure; doubled with each further one, and jittered.
   duration first_pause = std::chrono::milliseconds(500);
   duration longest_pause = std::chrono::seconds(4);
@@ -49,6 +53,9 @@
   published_reader(const published_reader_settings& settings, published_state& state, random_source& random)
       : settings_(settings), state_(state), random_(random) {}
 
+  /// Nodes that read the store by themselves, this one included.
+  void set_fleet_size(std::size_t nodes) { fleet_size_ = nodes; }
+
   /// What to ask now. The request counts as open until one of the events below.
   store_request next(time_point now);
 
@@ -74,6 +81,7 @@
 
  private:
   void on_answer(time_point now);
+  duration gather() const;
   void restart(bool may_be_stale);
 
   published_reader_settings settings_;
@@ -90,6 +98,7 @@
   /// Changes are watched from here on.
   std::uint64_t watched_revision_ = 0;
   time_point not_before_{};
+  std::size_t fleet_size_ = 1;
   int failures_ = 0;
 };
 
--- a/nutmegarch/node/published_path.cpp
+++ b/nutmegarch/node/published_path.cpp
@@ -283,6 +283,7 @@
   state_.gossip.set_peers({addresses.begin(), addresses.end()});
   share_retry_budget(addresses.size() + 1);
   share_link(addresses.size() + 1);
+  reader_.set_fleet_size(addresses.size() + 1);
   state_.endpoints.on_report({state_.settings.identity.host, state_.incarnation, state_.leaving});
   apply_own_target(hosts);
   export_hosts();
--- a/unit_tests/membership/published_state_test.cpp
+++ b/unit_tests/membership/published_state_test.cpp
@@ -1,5 +1,7 @@
 #include "nutmegarch/membership/published_state.h"
 
+#include <map>
+
 #include <boost/test/unit_test.hpp>
 
 #include "nutmegarch/membership/published_reader.h"
@@ -140,6 +142,32 @@
   BOOST_TEST(state.items().empty());
 }
 
+// Changes come every 10 ms; every node of the fleet watches them by itself.
+BOOST_FIXTURE_TEST_CASE(the_calls_of_all_nodes_grow_more_slowly_than_the_fleet, fixture) {
+  const published_reader_settings settings;
+  reader.next(start);
+  reader.on_page({}, "", 1, start);
+  time_point now = start;
+  std::map<std::size_t, int> calls;
+  std::uint64_t revision = 1;
+  for (const std::size_t nodes : {16U, 64U, 6'400U}) {
+    reader.set_fleet_size(nodes);
+    const time_point end = now + std::chrono::seconds(10);
+    for (; now < end; now += std::chrono::milliseconds(10)) {
+      if (reader.next(now).what == store_request::kind::watch) {
+        ++calls[nodes];
+        ++revision;
+        reader.on_changes({entry("a", revision)}, revision, now);
+      }
+    }
+  }
+  BOOST_TEST(calls[16] <= 41);
+  BOOST_TEST(calls[64] <= calls[16] / 2 + 1);
+  // A change waits a second at most, however large the fleet is.
+  BOOST_TEST(calls[6'400] >= 9);
+  BOOST_TEST(calls[6'400] <= 11);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace nutmegarch::membership
