Do not pass on a request that arrives behind the last answer of a stopping server

What callers saw: after SIGTERM, a connection on which a request had been read and passed on to a server was closed without an answer to it.

Cause: while a stopping server writes the answer that announces the end of the connection, the read of the next request is still pending. A request that comes meanwhile was handed to the handler, and the connection was closed when the answer was written. The window is the time that the answer takes to leave, so it needs an answer that the socket does not take at once: a slow reader or a long answer, and a caller that sends requests before the earlier ones are answered.

Change: once the answer that is being written closes the connection, a request that was read is dropped, as one that is not read at all. Callers send it again on another connection.

--- a/nutmegarch/http/server.cpp
+++ b/nutmegarch/http/server.cpp
@@ -127,6 +127,10 @@
       refuse(error);
       return;
     }
+    // No answer follows the last one, so this request is left to the caller's next connection.
+    if (is_writing_ && closes_) {
+      return;
+    }
     beast_request request = parser_->release();
     const std::uint64_t exchange = next_exchange();
     slots_.push_back({exchange, request.keep_alive(), std::nullopt});
--- a/unit_tests/http/http_test.cpp
+++ b/unit_tests/http/http_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <condition_variable>
@@ -158,9 +159,14 @@
   bool wait_for_gone(int count) {
     return wait([&]() { return gone_ >= count; });
   }
-  void answer(std::size_t index) {
+  bool has_request(const std::string& target) {
     const std::lock_guard<std::mutex> lock(mutex_);
-    held_.at(index).answer({200, {}, "to " + held_.at(index).target});
+    return std::any_of(held_.begin(), held_.end(),
+                       [&](const held_request& known) { return known.target == target; });
+  }
+  void answer(std::size_t index, std::size_t padding = 0) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    held_.at(index).answer({200, {}, std::string(padding, ' ') + "to " + held_.at(index).target});
   }
 
  private:
@@ -214,6 +220,17 @@
     }
     return got;
   }
+
+  /// Reads until the connection ends, and returns how many bytes came.
+  std::size_t read_to_end() {
+    std::size_t count = 0;
+    std::vector<char> buffer(64U << 10U);
+    boost::system::error_code error;
+    while (!error) {
+      count += socket.read_some(boost::asio::buffer(buffer), error);
+    }
+    return count;
+  }
 };
 
 constexpr duration patience = std::chrono::seconds(20);
@@ -297,6 +314,21 @@
   BOOST_TEST(fixture.read_until("to /2").find("Connection: close") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(a_request_behind_the_last_answer_is_not_passed_on_and_then_cut_off) {
+  held_server fixture;
+  fixture.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_REQUIRE(fixture.handler.wait_for_requests(1));
+  fixture.tested.refuse_keep_alive();
+  // More than the socket takes at once.
+  constexpr std::size_t long_answer = 16U << 20U;
+  fixture.handler.answer(0, long_answer);
+  const std::string begin = fixture.read_until("Connection: close");
+  BOOST_REQUIRE(begin.find("Connection: close") != std::string::npos);
+  fixture.send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_TEST(begin.size() + fixture.read_to_end() > long_answer);
+  BOOST_TEST(!fixture.handler.has_request("/2"));
+}
+
 BOOST_AUTO_TEST_CASE(a_connection_ahead_tells_whether_the_target_is_there_and_serves_the_next_request) {
   // The peer takes one connection, so the request can only use the one that was opened ahead.
   raw_peer peer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", raw_peer::ending::open);
