Read on for a second after the last answer of a connection, so that a reset does not cut it off

What callers saw: after SIGTERM, an answer that had been sent ended early, when the caller sent a further request on the same connection before it had read the answer whole.

Cause: the server closed the connection as soon as the answer was in the socket. Bytes of the caller that are unread at that moment, or come later, make the system reset the connection, and what it still had to send is lost.

Evidence: http_edges/the_last_answer_of_a_stopping_server_is_not_cut_off_by_a_request_that_crosses_it failed before the change, three of three runs: 128000 bytes of an answer of 1048576 came. It passes with it, three of three.

Change: after the last answer only the sending side is closed; what comes is read and dropped until the caller closes, for one second at most.

--- a/nutmegarch/http/server.cpp
+++ b/nutmegarch/http/server.cpp
@@ -35,6 +35,10 @@
 
 /// A caller that does not take its answer for this long is cut off.
 constexpr duration write_timeout = std::chrono::seconds(10);
+/// How long a connection takes in what still comes from its caller after the last answer.
+constexpr duration linger_timeout = std::chrono::seconds(1);
+/// Bytes that are dropped in one step while a connection lingers.
+constexpr std::size_t drop_bytes = 4096;
 /// Time between two looks for idle connections.
 constexpr duration sweep_interval = std::chrono::milliseconds(500);
 
@@ -83,6 +87,12 @@
 
   /// Closes the connection when nothing is asked on it for too long.
   void close_if_idle(std::chrono::steady_clock::time_point now, bool is_stopping) {
+    if (is_lingering_) {
+      if (now - last_active_ >= linger_timeout) {
+        close();
+      }
+      return;
+    }
     const bool is_quiet = slots_.empty() && !is_writing_;
     const duration allowed =
         is_stopping ? state_->settings.stopping_idle_timeout : duration(state_->idle_timeout.load());
@@ -100,7 +110,7 @@
   };
 
   void read() {
-    if (is_reading_ || is_closed_) {
+    if (is_reading_ || is_closed_ || is_lingering_) {
       return;
     }
     if (!reads_on_ || slots_.size() >= state_->settings.most_pipelined) {
@@ -119,6 +129,10 @@
 
   void on_read(beast::error_code error) {
     is_reading_ = false;
+    if (is_lingering_) {
+      drop_input(error);
+      return;
+    }
     last_active_ = std::chrono::steady_clock::now();
     if (is_closed_) {
       return;
@@ -158,7 +172,7 @@
   }
 
   void on_readable(beast::error_code error) {
-    if (error || is_closed_ || is_reading_) {
+    if (error || is_closed_ || is_lingering_ || is_reading_) {
       return;
     }
     char byte = 0;
@@ -194,6 +208,37 @@
   /// The caller has gone: nobody waits for the answers that are due.
   void leave() {
     close();
+    abandon();
+  }
+
+  /// Ends the connection after the last answer. Closing it at once would reset it if the caller sends more,
+  /// and what it has not read of the answer would be lost.
+  void linger() {
+    is_lingering_ = true;
+    beast::error_code ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    if (!is_reading_) {
+      drop_input({});
+    }
+    abandon();
+  }
+
+  /// Reads on until the caller closes.
+  void drop_input(beast::error_code error) {
+    if (error) {
+      close();
+    }
+    if (is_closed_) {
+      return;
+    }
+    buffer_.clear();
+    stream_.expires_never();
+    stream_.async_read_some(
+        buffer_.prepare(drop_bytes),
+        [self = shared_from_this()](beast::error_code failed, std::size_t) { self->drop_input(failed); });
+  }
+
+  void abandon() {
     std::deque<slot> abandoned;
     abandoned.swap(slots_);
     for (const slot& due : abandoned) {
@@ -214,7 +259,7 @@
   }
 
   void write() {
-    if (is_writing_ || is_closed_ || slots_.empty() || !slots_.front().answer) {
+    if (is_writing_ || is_closed_ || is_lingering_ || slots_.empty() || !slots_.front().answer) {
       return;
     }
     is_writing_ = true;
@@ -238,10 +283,14 @@
       return;
     }
     slots_.pop_front();
-    if (error || closes_) {
+    if (error) {
       leave();
       return;
     }
+    if (closes_) {
+      linger();
+      return;
+    }
     write();
     read();
   }
@@ -270,6 +319,8 @@
   bool is_writing_ = false;
   bool is_watching_ = false;
   bool is_closed_ = false;
+  /// The last answer has been written, and the caller has not closed yet.
+  bool is_lingering_ = false;
   /// Further requests are read from the connection.
   bool reads_on_ = true;
   /// The answer that is being written is the last one.
--- a/unit_tests/http/http_test.cpp
+++ b/unit_tests/http/http_test.cpp
@@ -329,6 +329,23 @@
   BOOST_TEST(!fixture.handler.has_request("/2"));
 }
 
+BOOST_AUTO_TEST_CASE(the_last_answer_of_a_stopping_server_is_not_cut_off_by_a_request_that_crosses_it) {
+  held_server fixture;
+  fixture.socket.set_option(boost::asio::socket_base::receive_buffer_size(64 << 10));
+  fixture.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_REQUIRE(fixture.handler.wait_for_requests(1));
+  fixture.tested.refuse_keep_alive();
+  // The socket of the server takes all of it, that of the caller does not.
+  constexpr std::size_t answer_size = 1U << 20U;
+  fixture.handler.answer(0, answer_size);
+  const std::string begin = fixture.read_until("Connection: close");
+  BOOST_REQUIRE(begin.find("Connection: close") != std::string::npos);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  fixture.send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  BOOST_TEST(begin.size() + fixture.read_to_end() > answer_size);
+}
+
 BOOST_AUTO_TEST_CASE(a_connection_ahead_tells_whether_the_target_is_there_and_serves_the_next_request) {
   // The peer takes one connection, so the request can only use the one that was opened ahead.
   raw_peer peer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", raw_peer::ending::open);
