Requests whose chunk extension or trailers don't end are refused

What callers saw: none of them saw anything, but one that sends a chunk extension or trailers without end made the node buffer all of it (64 MB in the test, where it stops) until the idle timeout closed the connection. The parser bounds the head and the body only. Change: the buffer of a connection is as large as the largest head, so such a request gets 400 and its connection is closed.

--- a/nutmegarch/http/server.cpp
+++ b/nutmegarch/http/server.cpp
@@ -1,5 +1,6 @@
 #include "nutmegarch/http/server.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <deque>
@@ -110,7 +111,10 @@
     is_reading_ = true;
     parser_.emplace();
     parser_->body_limit(state_->most_body_bytes.load());
-    parser_->header_limit(static_cast<std::uint32_t>(state_->most_head_bytes.load()));
+    const std::size_t most_head_bytes = state_->most_head_bytes.load();
+    parser_->header_limit(static_cast<std::uint32_t>(most_head_bytes));
+    // Bounds chunk extensions and trailers, which the limits of the parser don't.
+    buffer_.max_size(std::max(most_head_bytes, buffer_.size()));
     stream_.expires_never();
     beast::http::async_read(
         stream_, buffer_, *parser_,
