Bounds of answers in the settings; what could not be read is counted and logged

A call whose answer was cut off, too large or no HTTP was logged as target-error or connection-lost, so a target that writes bytes without end could not be told from one that fails. call-failed names the error, a counter of each kind and a gauge of what unfinished answers hold are in the metrics, and the bounds of heads and of unfinished answers are settings.

A test of the whole path: beside a server that writes without end, reads are served by the other one, orders get 502 or are served, and 40 calls end within 5 s.

--- a/nutmegarch/node/inbound_path.cpp
+++ b/nutmegarch/node/inbound_path.cpp
@@ -428,6 +428,10 @@
       return;
     }
     const time_point now = state_.clock.now();
+    const char* const error = succeeded(outcome) ? "" : http::name_of(std::get<http::client_error>(outcome));
+    if (!succeeded(outcome) && !found->second.is_cancelled) {
+      state_.counts.add(std::string("target_answers_") + error);
+    }
     target_answer answered =
         state_.dialect ? interpret_routed(*state_.dialect, std::move(outcome), found->second.is_cancelled)
                        : interpret(std::move(outcome), found->second.call->context.idempotent,
@@ -448,7 +452,7 @@
                       name_of(content.outcome));
     if (state_.dialect && content.outcome != call_outcome::ok) {
       state_.requests.on_target_failure(*found->second.call, content.outcome, content.reason,
-                                        content.message.status, now);
+                                        content.message.status, error, now);
     }
     policy::receiver_actions actions;
     state_.receiver.finish(found->second.call, answered.result, now, actions);
--- a/nutmegarch/node/inbound_path.h
+++ b/nutmegarch/node/inbound_path.h
@@ -43,6 +43,9 @@
   /// Closes idle connections to the target, since they may be dead.
   void drop_idle() { target_.drop_idle(); }
 
+  /// Bytes of answers that the target has not finished.
+  std::size_t unfinished_bytes() const { return target_.unfinished_bytes(); }
+
   /// The running call with this request id; nothing when there is none. Holds the state's lock.
   std::optional<parent_call> find_parent(const request_id& id) const;
   /// The running call that ends at the moment at which a call of the target expires: a target's calls expire
--- a/nutmegarch/node/node_settings.cpp
+++ b/nutmegarch/node/node_settings.cpp
@@ -32,6 +32,10 @@
   reader.read_duration("/target/connect_timeout", to.target.connections.connect_timeout, milliseconds(1),
                        seconds(60));
   reader.read_integer("/target/most_answer_bytes", to.target.connections.most_body_bytes, 1'024, 64 << 20);
+  reader.read_integer("/target/most_answer_head_bytes", to.target.connections.answer.most_head_bytes, 1'024,
+                      1 << 20);
+  reader.read_integer("/target/most_unfinished_bytes", to.target.connections.unfinished.most_bytes, 1 << 16,
+                      1 << 30);
   reader.read_integer("/callers/most_body_bytes", to.callers.most_body_bytes, 1'024, 64 << 20);
   reader.read_integer("/callers/most_head_bytes", to.callers.most_head_bytes, 1'024, 1 << 20);
   reader.read_integer("/callers/most_connections", to.callers.most_connections, 1, 100'000);
--- a/nutmegarch/node/request_log.cpp
+++ b/nutmegarch/node/request_log.cpp
@@ -94,7 +94,7 @@
 }
 
 void request_log::on_target_failure(const policy::inbound_call& call, call_outcome outcome,
-                                    call_reason reason, int status, time_point now) {
+                                    call_reason reason, int status, const char* error, time_point now) {
   if (may_log(now)) {
     observe::log_event(observe::log_level::info, "call-failed",
                        {{"id", call.context.attempt_id},
@@ -103,6 +103,7 @@
                         {"outcome", name_of(outcome)},
                         {"reason", name_of(reason)},
                         {"status", std::to_string(status)},
+                        {"error", error},
                         {"waited_ms", to_milliseconds_text(call.started - call.arrived)},
                         {"ran_ms", to_milliseconds_text(now - call.started)}});
   }
--- a/nutmegarch/node/request_log.h
+++ b/nutmegarch/node/request_log.h
@@ -23,9 +23,10 @@
   /// The node beside the target has refused a call.
   void on_refused(const policy::inbound_call& call, call_reason reason, const policy::receiver& receiver,
                   time_point now);
-  /// A call has left the target without a good answer.
+  /// A call has left the target without a good answer. `error` names what was wrong with the answer's bytes;
+  /// empty when it could be read.
   void on_target_failure(const policy::inbound_call& call, call_outcome outcome, call_reason reason,
-                         int status, time_point now);
+                         int status, const char* error, time_point now);
 
  private:
   bool may_log(time_point now);
--- a/unit_tests/http/endless_peer.h
+++ b/unit_tests/http/endless_peer.h
@@ -38,9 +38,10 @@
 /// Accepts connections and writes on each of them until the other end closes it.
 class endless_peer {
  public:
-  explicit endless_peer(endless_script script)
-      : script_(std::move(script)),
-        acceptor_(context_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
+  explicit endless_peer(
+      endless_script script,
+      const boost::asio::ip::tcp::endpoint& address = {boost::asio::ip::address_v4::loopback(), 0})
+      : script_(std::move(script)), acceptor_(context_, address) {
     thread_ = std::thread([this]() { accept(); });
   }
   endless_peer(const endless_peer&) = delete;
--- a/unit_tests/platform/platform_path_test.cpp
+++ b/unit_tests/platform/platform_path_test.cpp
@@ -15,6 +15,7 @@
 
 #include "platform/adapter.h"
 #include "stand_ins/store_stand_in.h"
+#include "unit_tests/http/endless_peer.h"
 #include "unit_tests/loopback.h"
 
 namespace nutmegarch::platform_adapter {
@@ -180,6 +181,27 @@
     BOOST_REQUIRE(nodes[index]->start().empty());
   }
 
+  /// The server of this machine, and its node, start again; the server now writes without end.
+  void make_endless(std::size_t index, const http::endless_script& script) {
+    nodes.erase(index);
+    server_edges_.at(index)->stop();
+    const boost::asio::ip::tcp::endpoint address = *http::parse_address(ip_of(peers_.at(index)) + ":20001");
+    BOOST_REQUIRE(wait_for([&]() {
+      try {
+        endless_ = std::make_unique<http::endless_peer>(script, address);
+      } catch (const boost::system::system_error&) {
+        // The address is still taken.
+      }
+      return endless_ != nullptr;
+    }));
+    start_node(index);
+    BOOST_REQUIRE(wait_for([&]() { return is_ready(index); }));
+  }
+
+  std::string metrics(std::size_t index) const {
+    return send(ip_of(peers_.at(index)) + ":20003", {"GET", "/metrics", {}, ""}).body;
+  }
+
   answer_message ask(std::size_t index, const std::string& method, const std::string& path,
                      headers fields = {}, const std::string& body = "") {
     static std::atomic<int> last_id{0};
@@ -221,6 +243,7 @@
   std::string store_address_;
   std::vector<std::string> peers_;
   std::vector<std::unique_ptr<http::server>> server_edges_;
+  std::unique_ptr<http::endless_peer> endless_;
   std::thread thread_;
   int runs_before_ = 0;
 };
@@ -282,6 +305,24 @@
   BOOST_TEST((std::chrono::steady_clock::now() - before >= std::chrono::milliseconds(290)));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_server_that_writes_without_end_gets_its_calls_answered_at_once, small_platform) {
+  constexpr duration soon = std::chrono::seconds(5);
+  make_endless(1, {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;x=", std::string(4'000, 'a')});
+  const std::chrono::steady_clock::time_point before = std::chrono::steady_clock::now();
+  int unknown = 0;
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(ask(i % 2, "GET", "/look/1").status == 200);
+    // An order may have run there, so it is neither repeated nor said not to have run.
+    const int status = ask(i % 2, "POST", "/buy/1").status;
+    BOOST_TEST((status == 200 || status == 502));
+    unknown += status == 502 ? 1 : 0;
+  }
+  BOOST_TEST((std::chrono::steady_clock::now() - before < soon));
+  BOOST_TEST(unknown > 0);
+  BOOST_TEST(metrics(1).find("nutmegarch_target_answers_malformed_total") != std::string::npos);
+  BOOST_TEST(metrics(1).find("nutmegarch_unfinished_answer_bytes 0") != std::string::npos);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_leaving_server_gets_no_new_work, small_platform) {
   register_server("i-0", 0, "draining");
   BOOST_REQUIRE(wait_for([&]() {
--- a/unit_tests/settings/settings_test.cpp
+++ b/unit_tests/settings/settings_test.cpp
@@ -38,6 +38,18 @@
 
 BOOST_AUTO_TEST_CASE(a_whole_file_is_read) { BOOST_TEST(errors_of(whole).empty()); }
 
+BOOST_AUTO_TEST_CASE(the_bounds_of_answers_are_read) {
+  std::string text = whole;
+  const std::string address = R"("127.0.0.1:4")";
+  text.insert(text.find(address) + address.size(),
+              R"(, "most_answer_head_bytes": 2048, "most_unfinished_bytes": 1048576)");
+  const std::variant<node::node_settings, std::vector<settings_error>> read = node::read_node_settings(text);
+  BOOST_REQUIRE(std::holds_alternative<node::node_settings>(read));
+  const http::client_settings& connections = std::get<node::node_settings>(read).target.connections;
+  BOOST_TEST(connections.answer.most_head_bytes == 2'048U);
+  BOOST_TEST(connections.unfinished.most_bytes == 1'048'576U);
+}
+
 BOOST_AUTO_TEST_CASE(all_mistakes_are_told_at_once_with_their_places) {
   const std::vector<settings_error> errors = errors_of(R"({
     "node": {"service": "s", "host": "h", "domain": "d", "region": "r", "workers": "two"},
