Idle connections that carry bytes nobody asked for are closed within a second

A kept connection was looked at only when the next request wanted it. One on which the target writes without end, or that has ended or expired, stayed open, with what the system buffers for it, until then or for good. The new test needs the new function; without the call, nothing closed such a connection.

--- a/nutmegarch/http/client_pool.cpp
+++ b/nutmegarch/http/client_pool.cpp
@@ -55,6 +55,11 @@
   return error == asio::error::would_block;
 }
 
+/// True when the next request may go over the connection.
+bool is_usable(const idle_connection& idle, std::chrono::steady_clock::time_point now) {
+  return now < idle.expires && is_clean(idle.stream->socket());
+}
+
 /// The idle time that an answer's Keep-Alive field allows; nothing when it names none.
 std::optional<duration> keep_alive_of(const beast_response& answer) {
   constexpr std::string_view name = "timeout=";
@@ -428,6 +433,14 @@
     idle_.clear();
   }
 
+  void sweep_idle() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
+    idle_.erase(std::remove_if(idle_.begin(), idle_.end(),
+                               [now](const idle_connection& idle) { return !is_usable(idle, now); }),
+                idle_.end());
+  }
+
   std::size_t unfinished_bytes() const {
     const std::lock_guard<std::mutex> lock(mutex_);
     return held_.total();
@@ -457,7 +470,7 @@
     while (!idle_.empty()) {
       idle_connection newest = std::move(idle_.back());
       idle_.pop_back();
-      if (now < newest.expires && is_clean(newest.stream->socket())) {
+      if (is_usable(newest, now)) {
         return std::move(newest.stream);
       }
     }
@@ -517,6 +530,8 @@
 
 void client_pool::drop_idle() { impl_->drop_idle(); }
 
+void client_pool::sweep_idle() { impl_->sweep_idle(); }
+
 std::size_t client_pool::unfinished_bytes() const { return impl_->unfinished_bytes(); }
 
 }  // namespace nutmegarch::http
--- a/nutmegarch/http/client_pool.h
+++ b/nutmegarch/http/client_pool.h
@@ -84,6 +84,10 @@
   /// Closes the idle connections, since they may be dead.
   void drop_idle();
 
+  /// Closes idle connections that have ended, have expired or carry bytes that nobody asked for. Its owner
+  /// calls it now and then.
+  void sweep_idle();
+
   /// Bytes of unfinished answers that count against `unfinished`.
   std::size_t unfinished_bytes() const;
 
--- a/nutmegarch/node/inbound_path.cpp
+++ b/nutmegarch/node/inbound_path.cpp
@@ -15,6 +15,9 @@
 /// Times are passed on in whole milliseconds, over two hand-overs on one host.
 constexpr duration deadline_tolerance = std::chrono::milliseconds(4);
 
+/// Time between two looks at the idle connections to the target.
+constexpr duration sweep_interval = std::chrono::seconds(1);
+
 /// Key of a request id in look-up tables.
 std::uint64_t id_key(const request_id& id) { return hash_number(id.low, id.high); }
 
@@ -125,11 +128,12 @@
 
 void inbound_path::on_time() {
   work todo;
+  const time_point now = state_.clock.now();
   {
     const std::lock_guard<std::mutex> lock(state_.mutex);
     const admission_level before = state_.receiver.level();
     policy::receiver_actions actions;
-    state_.receiver.on_time(state_.clock.now(), actions);
+    state_.receiver.on_time(now, actions);
     take(actions, todo);
     const admission_level after = state_.receiver.level();
     if (!(before == after)) {
@@ -138,6 +142,10 @@
     }
   }
   run(todo);
+  if (now >= next_sweep_) {
+    next_sweep_ = now + sweep_interval;
+    target_.sweep_idle();
+  }
 }
 
 std::optional<parent_call> inbound_path::find_parent(const request_id& id) const {
--- a/nutmegarch/node/inbound_path.h
+++ b/nutmegarch/node/inbound_path.h
@@ -123,6 +123,7 @@
 
   node_state& state_;
   http::client_pool target_;
+  time_point next_sweep_{};
   std::function<void()> crash_listener_;
 
   /// Guarded by the state's lock.
--- a/unit_tests/http/endless_answer_test.cpp
+++ b/unit_tests/http/endless_answer_test.cpp
@@ -174,6 +174,39 @@
   BOOST_TEST(peer.written() < few_bytes);
 }
 
+BOOST_AUTO_TEST_CASE(bytes_without_end_on_an_idle_connection_end_it) {
+  endless_script script{"", letters};
+  script.starts_unasked = true;
+  const endless_peer peer(script);
+  boost::asio::io_context workers;
+  client_pool pool(workers, peer.address(), client_settings{});
+  pool.connect_ahead([](bool is_there) { BOOST_TEST(is_there); });
+  workers.run();
+  while (peer.written() == 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  BOOST_TEST(peer.closed() == 0);
+  pool.sweep_idle();
+  BOOST_TEST(peer.wait_for_closed(1));
+  BOOST_TEST(peer.written() < few_bytes);
+}
+
+BOOST_AUTO_TEST_CASE(an_idle_connection_that_is_in_order_outlives_a_sweep) {
+  endless_script script;
+  script.first_answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+  const endless_peer peer(script);
+  boost::asio::io_context workers;
+  client_pool pool(workers, peer.address(), client_settings{});
+  bool is_answered = false;
+  pool.connect_ahead([&](bool) {
+    pool.sweep_idle();
+    pool.send({"GET", "/", {}, ""}, std::chrono::seconds(5),
+              [&](const result<answer_message, client_error>& outcome) { is_answered = succeeded(outcome); });
+  });
+  workers.run();
+  BOOST_TEST(is_answered);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_that_trickles_ends_at_the_deadline) {
   const endless_peer peer({"HTTP/1.1 200 OK\r\nX-A: ", "a", std::chrono::milliseconds(5)});
   const outcome_of_get found = get(peer, large_settings(), std::chrono::milliseconds(300));
