Hold signals back from the first moment of the program

Callers of a node that had just been started saw their connections close without an answer when its settings changed: SIGHUP had its default action until the settings were read, the log was set up and the mask was set, and ended the process; SIGTERM and SIGINT ended it without an orderly stop. The program now holds the three back before any other initialisation and before any thread, and they stay pending until the node waits for them: a reload or an orderly stop after the start. The other commands release them before they begin. SIGPIPE is ignored as the node's first step.

--- a/nutmegarch/command/commands.cpp
+++ b/nutmegarch/command/commands.cpp
@@ -4,6 +4,8 @@
 #include <iostream>
 #include <map>
 
+#include "nutmegarch/command/held_signals.h"
+
 namespace nutmegarch::command {
 
 namespace {
@@ -11,11 +13,13 @@
 struct command_entry {
   int (*run)(const std::vector<std::string>&);
   const char* summary;
+  /// The command handles the held signals itself.
+  bool handles_signals = false;
 };
 
 const std::map<std::string, command_entry>& commands() {
   static const std::map<std::string, command_entry> known = {
-      {"node", {run_node, "runs the node beside a target: --settings FILE [--check]"}},
+      {"node", {run_node, "runs the node beside a target: --settings FILE [--check]", true}},
       {"rules", {run_rules, "check FILE | show --node ADDRESS | diff OLD NEW"}},
       {"status", {run_status, "shows the state of a node: --node ADDRESS"}},
       {"timeline", {run_timeline, "merges the events of nodes: --node ADDRESS..."}},
@@ -54,6 +58,9 @@
     print_usage(std::cerr);
     return bad_usage;
   }
+  if (!found->second.handles_signals) {
+    held_signals::release();
+  }
   return found->second.run({words.begin() + 1, words.end()});
 }
 
--- a/nutmegarch/command/node_command.cpp
+++ b/nutmegarch/command/node_command.cpp
@@ -1,11 +1,10 @@
 #include <csignal>
 #include <iostream>
-#include <pthread.h>
 #include <random>
-#include <thread>
 
 #include "nutmegarch/command/command_line.h"
 #include "nutmegarch/command/commands.h"
+#include "nutmegarch/command/held_signals.h"
 #include "nutmegarch/node/node.h"
 
 #include "platform/adapter.h"
@@ -22,13 +21,6 @@
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
-/// Waits for the signal of a planned stop on a thread of its own.
-int wait_for_signal(const sigset_t& signals) {
-  int received = 0;
-  sigwait(&signals, &received);
-  return received;
-}
-
 /// The adapter of the platform whose dialect the settings name; nothing for the product's own.
 std::optional<node::platform_adapter> make_adapter(const node::node_settings& settings) {
   if (settings.platform.dialect.empty()) {
@@ -47,15 +39,6 @@
 }
 
 int serve(const std::string& path, const node::node_settings& settings) {
-  // Threads inherit the mask, so that only this one takes the signals.
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  sigaddset(&signals, SIGHUP);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
-
   const std::optional<node::platform_adapter> adapter = make_adapter(settings);
   node::node served(settings, random_number(), random_number(), adapter);
   const std::string error = served.start();
@@ -65,7 +48,7 @@
   }
   observe::log_event(observe::log_level::info, "node-started",
                      {{"host", settings.identity.host}, {"callers", settings.listen.callers}});
-  while (wait_for_signal(signals) == SIGHUP) {
+  while (held_signals::wait() == SIGHUP) {
     reload(path, settings);
   }
   observe::log_event(observe::log_level::info, "node-stopping", {{"host", settings.identity.host}});
@@ -79,6 +62,7 @@
 }  // namespace
 
 int run_node(const std::vector<std::string>& words) {
+  std::signal(SIGPIPE, SIG_IGN);
   TCLAP::CmdLine line("Runs the node beside a target.", ' ', version());
   TCLAP::ValueArg<std::string> file("", "settings", "Settings file, JSON with comments.", true, "", "FILE",
                                     line);
--- a/unit_tests/command/child_process.h
+++ b/unit_tests/command/child_process.h
@@ -32,7 +32,7 @@
   /// All it has written so far.
   std::string output() const;
 
-  /// True when the main thread holds the signal back.
+  /// True when the main thread holds the signal back; not while it waits for the signal.
   bool blocks(int signal) const;
 
  private:
