--- a/unit_tests/platform/published_format_test.cpp
+++ b/unit_tests/platform/published_format_test.cpp
@@ -56,6 +56,31 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_server_whose_start_is_no_whole_number_does_not_end_the_node) {
+  for (const char* const born : {"1.5", "-1.5", "1e300", "1e999", "18446744073709551615"}) {
+    BOOST_TEST(
+        is_read(
+            R"({"Service": "s", "Address": "127.0.0.1:1", "Zone": "z", "Slots": 4, "State": "ready", "born": )" +
+            std::string(born) + "}"),
+        born);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(times_and_counts_beyond_all_bounds_are_kept_within_them) {
+  for (const char* const number : {"1e300", "1e999", "9223372036854775808"}) {
+    const std::string text =
+        R"({"Version": 7, "Resources": [{"ResourceType": "Limits", "Metadata": {}, "Spec": )"
+        R"({"IdleTimeoutMs": )" +
+        std::string(number) + R"(, "MaxBodyBytes": )" + number + "}}]}";
+    const result<routes::route_configuration, membership::published_value_error> read =
+        parse_configuration(text);
+    BOOST_REQUIRE(succeeded(read));
+    const routes::request_limits& limits = std::get<routes::route_configuration>(read).limits;
+    BOOST_TEST((limits.idle_timeout > std::chrono::hours(1)));
+    BOOST_TEST(limits.most_body_bytes > 1'000'000U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_server_is_read_and_the_start_of_its_process_kept) {
   const result<membership::published_host, membership::published_value_error> read = parse_server(server_item(
       R"({"Service": "s", "Address": "10.0.0.1:80", "Zone": "z", "Version": "v1", "Slots": 8,
