Leave out a peer's list of servers whose revision is out of range

A revision that is no whole number, or below 0, made the conversion throw in the middle of an exchange, which then failed with all that it carried, each time anew. The list is now left out like any other that can't be read. The test failed before, for each of its three values.

--- a/nutmegarch/node/published_path.cpp
+++ b/nutmegarch/node/published_path.cpp
@@ -55,8 +55,12 @@
     if (!parts.at(0).is_string() || !parts.at(1).is_number() || !parts.at(2).is_string()) {
       return {};
     }
-    items.push_back({std::string(parts.at(0).get_string()), std::string(parts.at(2).get_string()),
-                     parts.at(1).to_number<std::uint64_t>(), false});
+    const std::uint64_t revision = parts.at(1).to_number<std::uint64_t>(error);
+    if (error) {
+      return {};
+    }
+    items.push_back(
+        {std::string(parts.at(0).get_string()), std::string(parts.at(2).get_string()), revision, false});
   }
   return items;
 }
--- a/unit_tests/platform/platform_path_test.cpp
+++ b/unit_tests/platform/platform_path_test.cpp
@@ -262,6 +262,16 @@
   BOOST_TEST(new_runs() == 4);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_document_of_a_peer_with_a_revision_out_of_range_is_left_out, small_platform) {
+  for (const char* const revision : {"-1", "1.5", "1e300"}) {
+    protocol::peer_exchange offer;
+    offer.documents.push_back({{"published-hosts", 1'000'000, 1'000'000, 1},
+                               std::string(R"([["servers/x",)") + revision + R"(,"{}"]])"});
+    BOOST_CHECK_NO_THROW(nodes.at(0)->on_exchange(offer));
+  }
+  BOOST_TEST(ask(0, "GET", "/look/1").status == 200);
+}
+
 // Found on the platform: all machines came back with new server processes at the old addresses, and requests
 // were sent to the old ones until their entries lapsed.
 BOOST_FIXTURE_TEST_CASE(a_new_process_at_an_address_takes_the_place_of_the_old_one, small_platform) {
