--- a/nutmegarch/http/server.cpp
+++ b/nutmegarch/http/server.cpp
@@ -238,7 +238,7 @@
     buffer_.clear();
     stream_.expires_never();
     stream_.async_read_some(
-        buffer_.prepare(drop_bytes),
+        buffer_.prepare(std::min(drop_bytes, buffer_.max_size())),
         [self = shared_from_this()](beast::error_code failed, std::size_t) { self->drop_input(failed); });
   }
 
