--- /dev/null
+++ b/soak/soak.py
@@ -0,0 +1,153 @@
+"""One run of the soak: starts a fleet, loads it, disturbs it after a plan and checks it until a promise breaks."""
+
+import argparse
+import asyncio
+import os
+import random
+import shutil
+import sys
+import tempfile
+import time
+
+import clients
+import faults
+from checks import BrokenPromise, Checker
+from fleet import ROOT, Fleet
+
+
+def options():
+    parser = argparse.ArgumentParser(prog="tools/soak", description=__doc__)
+    parser.add_argument("--seed", type=int, required=True)
+    parser.add_argument("--minutes", type=float, default=2)
+    parser.add_argument("--nodes", type=int, default=6)
+    parser.add_argument("--faults", help="kinds of faults, separated by commas; all by default")
+    parser.add_argument("--binary", default=os.path.join(ROOT, "build", "nutmegarch"), help="program under soak")
+    parser.add_argument("--logs", help="folder that gets the folder of a run")
+    parser.add_argument("--plan", action="store_true", help="only prints the plan")
+    return parser.parse_args()
+
+
+class Run:
+    def __init__(self, chosen):
+        self.chosen = chosen
+        self.folder = tempfile.mkdtemp(prefix="soak-%d-" % chosen.seed, dir=chosen.logs)
+        self.timeline = open(os.path.join(self.folder, "timeline"), "w")
+        self.checker = Checker(self.say)
+        self.fleet = Fleet(self.folder, chosen.nodes, chosen.binary, self.checker.on_server_line)
+        self.faults = faults.Faults(self.fleet, self.checker)
+        self.tasks = []
+
+    def say(self, text):
+        line = "%8.3f s  %s" % (time.monotonic() - self.checker.begin, text)
+        print(line, flush=True)
+        print(line, file=self.timeline, flush=True)
+
+    def random_of(self, name):
+        return random.Random("%d-%s" % (self.chosen.seed, name))
+
+    async def start(self):
+        await self.fleet.start()
+        await self.faults.configure()
+        for host in self.fleet.hosts:
+            await host.start_server()
+        await asyncio.sleep(0.3)
+        for host in self.fleet.hosts:
+            await host.register()
+            await host.start_node()
+        begin = time.monotonic()
+        while not all([await host.is_ready() for host in self.fleet.hosts]):
+            if time.monotonic() - begin > 30:
+                raise BrokenPromise("START: not all nodes got ready in 30 s")
+            await asyncio.sleep(0.05)
+        span = self.checker.disturb()
+        span[1] = time.monotonic()
+
+    async def watch_processes(self):
+        """A node that ends by itself is a broken promise; the one exception is SIGHUP before main()."""
+        while True:
+            for host in self.fleet.hosts:
+                if host.node.returncode is not None and not host.is_stopping:
+                    self.checker.fail("ENDED", "%s ended by itself with %d" % (host.name, host.node.returncode))
+            self.checker.check_budget()
+            await asyncio.sleep(0.2)
+
+    async def follow(self, plan):
+        begin = time.monotonic()
+        for at, kind, index, length, detail in plan:
+            await asyncio.sleep(max(0, begin + at - time.monotonic()))
+            self.say("%s %s %s %.1f" % (kind, self.fleet.hosts[index].name, detail, length))
+            self.spawn(self.faults.do(kind, self.fleet.hosts[index], length, detail))
+        self.last_fault = begin + (plan[-1][0] if plan else 0) + 5
+        await asyncio.sleep(max(0, begin + self.chosen.minutes * 60 - time.monotonic()))
+
+    def spawn(self, run):
+        task = asyncio.create_task(run)
+        task.add_done_callback(lambda done: done.cancelled() or done.exception() and self.checker.fail(
+            "SOAK", "the soak itself failed: %r" % done.exception()))
+        self.tasks.append(task)
+
+    def check_recovery(self, first, begin, end):
+        before = self.checker.served_share(first, first + faults.QUIET_BEGIN)
+        after = self.checker.served_share(begin, end)
+        self.say("served %.3f before the faults, %.3f after" % (before, after))
+        if before >= 0.25 > after:
+            raise BrokenPromise("RECOVER: served %.3f, %.3f before the faults" % (after, before))
+        for host in self.fleet.hosts:
+            if before >= 0.25 and not self.checker.served_share(begin, end, host):
+                raise BrokenPromise("RECOVER: %s serves nothing" % host.name)
+
+    async def run(self):
+        chosen = self.chosen
+        plan_random = self.random_of("plan")
+        pace = plan_random.choice((0.1, 0.2, 0.03))
+        plan = faults.make_plan(plan_random, chosen.minutes * 60, chosen.nodes,
+                                chosen.faults and chosen.faults.split(","))
+        if chosen.plan:
+            for event in plan:
+                print(*event)
+            return
+        await self.start()
+        self.say("all nodes are ready")
+        first = time.monotonic()
+        for host in self.fleet.hosts:
+            for task in clients.start(host, self.checker, self.random_of, pace):
+                self.tasks.append(task)
+                task.add_done_callback(lambda done: done.cancelled() or self.checker.fail(
+                    "SOAK", "a client failed: %r" % done.exception()))
+        self.spawn(self.checker.watch_lag())
+        self.spawn(self.watch_processes())
+        follow = asyncio.create_task(self.follow(plan))
+        self.tasks.append(follow)
+        await asyncio.wait([follow, self.checker.broken], return_when=asyncio.FIRST_COMPLETED)
+        if self.checker.broken.done():
+            self.checker.broken.result()
+        follow.result()
+        end = time.monotonic()
+        self.check_recovery(first, end - 5, end - 1)
+
+    async def end(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.fleet.stop()
+
+
+async def main():
+    run = Run(options())
+    code = 0
+    try:
+        await run.run()
+        run.say("no promise broken; %s" % dict(run.checker.counts))
+    except BrokenPromise as broken:
+        run.say("BROKEN %s" % broken)
+        run.say("logs: %s" % run.folder)
+        code = 1
+    finally:
+        await run.end()
+        run.timeline.close()
+    if code == 0:
+        shutil.rmtree(run.folder)
+    return code
+
+
+sys.exit(asyncio.run(main()))
--- a/stand_ins/main.cpp
+++ b/stand_ins/main.cpp
@@ -4,9 +4,11 @@
 #include <vector>
 
 #include "stand_ins/platform_stand_in.h"
+#include "stand_ins/server_stand_in.h"
+#include "stand_ins/store_command.h"
 #include "stand_ins/target_stand_in.h"
 
-/// Stand-ins for what surrounds the product: a target, and the platform. Not shipped.
+/// Stand-ins for what surrounds the product: a target or server, the platform and its store. Not shipped.
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
   const std::vector<std::string> words(argv + 1, argv + argc);
@@ -18,6 +20,12 @@
   if (name == "platform") {
     return nutmegarch::stand_ins::run_platform(rest);
   }
-  std::cerr << "usage: nutmegarch_stand_ins target|platform [OPTIONS]\n";
+  if (name == "server") {
+    return nutmegarch::stand_ins::run_server(rest);
+  }
+  if (name == "store") {
+    return nutmegarch::stand_ins::run_store(rest);
+  }
+  std::cerr << "usage: nutmegarch_stand_ins target|platform|server|store [OPTIONS]\n";
   return 2;
 }
--- a/stand_ins/store_stand_in.cpp
+++ b/stand_ins/store_stand_in.cpp
@@ -51,6 +51,10 @@
     answer({503, {}, ""});
     return;
   }
+  if (mode_ == mode::limits) {
+    answer({429, {}, ""});
+    return;
+  }
   if (mode_ == mode::silent) {
     unanswered_.push_back(std::move(answer));
     return;
@@ -66,7 +70,9 @@
   } else if (revision < revision_) {
     answer(changes_after(revision));
   } else {
-    watches_.push_back({revision, std::move(answer)});
+    const std::string wait = parameter(request.target, "WaitMs");
+    const std::chrono::milliseconds length(wait.empty() ? 0 : std::stoll(wait));
+    watches_.push_back({revision, std::chrono::steady_clock::now() + length, std::move(answer)});
   }
 }
 
@@ -100,6 +106,25 @@
   history_begin_ = revision_;
 }
 
+void store_stand_in::end_watches() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
+  std::vector<waiting_watch> waiting;
+  for (waiting_watch& watch : watches_) {
+    if (watch.end > now) {
+      waiting.push_back(std::move(watch));
+    } else {
+      watch.answer(changes_after(watch.after));
+    }
+  }
+  watches_ = std::move(waiting);
+}
+
+std::uint64_t store_stand_in::revision() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return revision_;
+}
+
 int store_stand_in::calls() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return calls_;
--- a/stand_ins/store_stand_in.h
+++ b/stand_ins/store_stand_in.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <map>
 #include <mutex>
 #include <string>
@@ -10,11 +11,12 @@
 namespace nutmegarch::stand_ins {
 
 /// The users' metadata store as its pages describe it, within the test's process: listings by page, watches
-/// that wait for a change, a revision that counts changes. A watch without a change is never answered.
+/// that wait for a change, a revision that counts changes. A watch without a change is answered by
+/// end_watches().
 class store_stand_in final : public http::request_handler {
  public:
   /// How the store answers.
-  enum class mode { good, refuses, silent };
+  enum class mode { good, refuses, limits, silent };
 
   void on_request(std::uint64_t exchange, request_message request, reply answer) override;
 
@@ -27,6 +29,9 @@
   void set_mode(mode next);
   /// Forgets the changes so far: watches from earlier revisions are answered 410.
   void forget_history();
+  /// Answers the watches that have waited as long as they asked.
+  void end_watches();
+  std::uint64_t revision() const;
   /// Requests so far, refused ones included.
   int calls() const;
 
@@ -40,6 +45,7 @@
 
   struct waiting_watch {
     std::uint64_t after = 0;
+    std::chrono::steady_clock::time_point end;
     reply answer;
   };
 
