--- a/soak/faults.py
+++ b/soak/faults.py
@@ -80,16 +80,17 @@
     # Planned work.
 
     async def reload(self, host, *_):
-        host.reloads += 1
-        host.write_settings()
-        if host.node.returncode is None:
+        # Before its main() a process can't do anything about a signal.
+        if host.has_begun and host.node.returncode is None:
+            host.reloads += 1
+            host.write_settings()
             host.node.send_signal(signal.SIGHUP)
 
     async def reload_all(self, *_):
         for host in self.fleet.hosts:
             await self.reload(host)
 
-    async def stop(self, host, *_):
+    async def stop(self, host, *_, reloads_at_once=False):
         span = self.begin_planned(host)
         self.checker.stops[host.index].append(time.monotonic())
         host.is_stopping = True
@@ -100,11 +101,11 @@
         except asyncio.TimeoutError:
             self.checker.say("%s still ran at the end of its grace" % host.name)
             await self.end(stopped)
-        await host.start_node()
+        await host.start_node(reloads_at_once)
         span[1] = time.monotonic()
 
     async def reload_while_starting(self, host, *_):
-        await self.stop(host)
+        await self.stop(host, reloads_at_once=True)
         for _ in range(20):
             await self.reload(host)
             await asyncio.sleep(0.02)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -54,7 +54,7 @@
         self.callers = (self.ip, 8304)
         self.file = os.path.join(fleet.folder, self.name + ".json")
         self.node = self.server = None
-        self.is_stopping = False
+        self.is_stopping = self.has_begun = False
         self.starts = 0
         self.lifetime = 0
         self.reloads = 0
@@ -77,15 +77,33 @@
         with open(self.file + ".new", "w") as file:
             file.write(text)
         os.replace(self.file + ".new", self.file)
+        return text
 
-    async def start_node(self):
+    async def start_node(self, reloads_at_once=False):
+        """Gives the settings through a pipe, so that a signal can be sent while they are being read."""
         self.lifetime += 1
-        self.is_stopping = False
+        self.has_begun = False
         self.reloads = 0
-        self.write_settings()
+        text = self.write_settings()
+        os.remove(self.file)
+        os.mkfifo(self.file)
         self.node = await self.fleet.spawn(
             self.name + "-node", [self.fleet.binary, "node", "--settings", self.file])
-        return self.node
+        self.is_stopping = False
+        pipe = None
+        while pipe is None and self.node.returncode is None:
+            try:
+                pipe = os.open(self.file, os.O_WRONLY | os.O_NONBLOCK)
+            except OSError:
+                await asyncio.sleep(0.002)
+        if pipe is None:
+            return
+        self.has_begun = True
+        if reloads_at_once:
+            self.node.send_signal(signal.SIGHUP)
+        os.write(pipe, text.encode())
+        self.write_settings()
+        os.close(pipe)
 
     async def start_server(self):
         self.starts += 1
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -63,7 +63,6 @@
         span[1] = time.monotonic()
 
     async def watch_processes(self):
-        """A node that ends by itself is a broken promise; the one exception is SIGHUP before main()."""
         while True:
             for host in self.fleet.hosts:
                 if host.node.returncode is not None and not host.is_stopping:
