--- a/soak/checks.py
+++ b/soak/checks.py
@@ -79,6 +79,11 @@
         """No unplanned disturbance from the stable window before the span to its end."""
         return not any(first <= end and (last is None or last >= begin - STABLE) for first, last in self.unplanned)
 
+    def calm_seconds(self):
+        """How long planned work alone could be judged."""
+        steps = range(int((time.monotonic() - self.begin) * 10))
+        return sum(self.is_calm(self.begin + step / 10, self.begin + step / 10) for step in steps) / 10
+
     def is_in_touch(self, host, moment):
         touched = self.planned[host.index]
         return self.is_calm(moment, moment) and not any(
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -15,6 +15,22 @@
 from fleet import ROOT, Fleet
 
 
+# Wait for a processor between two looks that counts as a slowed process, in seconds.
+STARVED = 0.15
+
+
+def processor_wait(pid):
+    """Seconds that the threads of a process were ready to run and did not."""
+    try:
+        waited = 0
+        for task in os.listdir("/proc/%d/task" % pid):
+            with open("/proc/%d/task/%s/schedstat" % (pid, task)) as file:
+                waited = max(waited, int(file.read().split()[1]))
+        return waited / 1e9
+    except (OSError, ValueError, IndexError):
+        return None
+
+
 def options():
     parser = argparse.ArgumentParser(prog="tools/soak", description=__doc__)
     parser.add_argument("--seed", type=int, required=True)
@@ -36,6 +52,7 @@
         self.fleet = Fleet(self.folder, chosen.nodes, chosen.binary, self.checker.on_server_line)
         self.faults = faults.Faults(self.fleet, self.checker)
         self.tasks = []
+        self.waits = {}
 
     def say(self, text):
         line = "%8.3f s  %s" % (time.monotonic() - self.checker.begin, text)
@@ -68,8 +85,22 @@
                 if host.node.returncode is not None and not host.is_stopping:
                     self.checker.fail("ENDED", "%s ended by itself with %d" % (host.name, host.node.returncode))
             self.checker.check_budget()
+            self.find_starved()
             await asyncio.sleep(0.2)
 
+    def find_starved(self):
+        """A process that the machine kept waiting for a processor counts as slowed for that time."""
+        now = time.monotonic()
+        for process in self.fleet.processes:
+            waited = processor_wait(process.pid) if process.returncode is None else None
+            if waited is None:
+                continue
+            more = waited - self.waits.get(process.pid, waited)
+            self.waits[process.pid] = waited
+            if more > STARVED:
+                self.checker.unplanned.append([now - more - 0.3, now])
+                self.say("process %d waited %.3f s for a processor" % (process.pid, more))
+
     async def follow(self, plan):
         begin = time.monotonic()
         for at, kind, index, length, detail in plan:
@@ -136,7 +167,7 @@
     code = 0
     try:
         await run.run()
-        run.say("no promise broken; %s" % dict(run.checker.counts))
+        run.say("no promise broken; calm for %.0f s; %s" % (run.checker.calm_seconds(), dict(run.checker.counts)))
     except BrokenPromise as broken:
         run.say("BROKEN %s" % broken)
         run.say("logs: %s" % run.folder)
