--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,6 +1,7 @@
 """What callers and servers saw of the fleet, checked while it runs."""
 
 import asyncio
+import faulthandler
 import time
 import zlib
 from collections import defaultdict
@@ -15,6 +16,8 @@
 STABLE = BOUNDS["StableWindowMs"] / 1000
 # Lines of servers come through a pipe: verdicts that need them wait so long.
 LINE_DELAY = 1.5
+# A longer stillness of the soak itself counts as a disturbance, in seconds.
+MOST_LAG = 0.15
 
 
 class BrokenPromise(Exception):
@@ -96,11 +99,15 @@
     async def watch_lag(self):
         """How late this process reads what has arrived."""
         while True:
+            faulthandler.dump_traceback_later(2)
             before = time.monotonic()
             await asyncio.sleep(0.01)
             lag = time.monotonic() - before - 0.01
             if lag > 0.01:
                 self.lags.append((before, lag))
+            if lag > MOST_LAG:
+                self.unplanned.append([before, before + lag])
+                self.say("the soak itself stood still for %.3f s" % lag)
 
     def lag(self, begin, end):
         return sum(lag for at, lag in self.lags[-500:] if begin - 1 <= at <= end)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -58,6 +58,14 @@
     return json.dumps({"Version": version, "Resources": resources})
 
 
+def send(process, number):
+    """Signals a process that we started, unless it has ended meanwhile."""
+    try:
+        process.send_signal(number)
+    except ProcessLookupError:
+        pass
+
+
 class Faults:
     """Does the events of a plan. What is planned work and what disturbs is told to the checks."""
 
@@ -84,7 +92,7 @@
         if host.has_begun and host.node.returncode is None:
             host.reloads += 1
             host.write_settings()
-            host.node.send_signal(signal.SIGHUP)
+            send(host.node, signal.SIGHUP)
 
     async def reload_all(self, *_):
         for host in self.fleet.hosts:
@@ -95,7 +103,7 @@
         self.checker.stops[host.index].append(time.monotonic())
         host.is_stopping = True
         stopped = host.node
-        stopped.send_signal(signal.SIGTERM)
+        send(stopped, signal.SIGTERM)
         try:
             await asyncio.wait_for(stopped.wait(), BOUNDS["GraceS"])
         except asyncio.TimeoutError:
@@ -143,7 +151,7 @@
         hosts = [host for host in hosts if host.node.returncode is None and not host.is_stopping]
         for host in hosts:
             host.is_stopping = True
-            host.node.kill()
+            send(host.node, signal.SIGKILL)
         await asyncio.sleep(length)
         for host in hosts:
             await host.node.wait()
@@ -159,10 +167,10 @@
     async def freeze(self, process, length):
         span = self.checker.disturb()
         if process.returncode is None:
-            process.send_signal(signal.SIGSTOP)
+            send(process, signal.SIGSTOP)
         await asyncio.sleep(length)
         if process.returncode is None:
-            process.send_signal(signal.SIGCONT)
+            send(process, signal.SIGCONT)
         span[1] = time.monotonic()
 
     async def kill_server(self, host, length, _):
@@ -220,8 +228,8 @@
     @staticmethod
     async def end(process):
         if process.returncode is None:
-            process.send_signal(signal.SIGCONT)
-            process.kill()
+            send(process, signal.SIGCONT)
+            send(process, signal.SIGKILL)
         await process.wait()
 
 
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -46,7 +46,9 @@
 class Run:
     def __init__(self, chosen):
         self.chosen = chosen
-        self.folder = tempfile.mkdtemp(prefix="soak-%d-" % chosen.seed, dir=chosen.logs)
+        # In memory where there is such a place: a file on a busy disk stops its writer for seconds.
+        memory = "/dev/shm" if os.path.isdir("/dev/shm") else None
+        self.folder = tempfile.mkdtemp(prefix="soak-%d-" % chosen.seed, dir=memory)
         self.timeline = open(os.path.join(self.folder, "timeline"), "w")
         self.checker = Checker(self.say)
         self.fleet = Fleet(self.folder, chosen.nodes, chosen.binary, self.checker.on_server_line)
@@ -170,13 +172,15 @@
         run.say("no promise broken; calm for %.0f s; %s" % (run.checker.calm_seconds(), dict(run.checker.counts)))
     except BrokenPromise as broken:
         run.say("BROKEN %s" % broken)
-        run.say("logs: %s" % run.folder)
         code = 1
     finally:
         await run.end()
         run.timeline.close()
-    if code == 0:
-        shutil.rmtree(run.folder)
+    if code:
+        kept = tempfile.mkdtemp(prefix="soak-%d-" % run.chosen.seed, dir=run.chosen.logs)
+        shutil.copytree(run.folder, kept, dirs_exist_ok=True)
+        print("logs: %s" % kept)
+    shutil.rmtree(run.folder)
     return code
 
 
