--- a/soak/soak.py
+++ b/soak/soak.py
@@ -178,7 +178,9 @@
         run.timeline.close()
     if code:
         kept = tempfile.mkdtemp(prefix="soak-%d-" % run.chosen.seed, dir=run.chosen.logs)
-        shutil.copytree(run.folder, kept, dirs_exist_ok=True)
+        for name in os.listdir(run.folder):
+            if os.path.isfile(os.path.join(run.folder, name)):
+                shutil.copy(os.path.join(run.folder, name), kept)
         print("logs: %s" % kept)
     shutil.rmtree(run.folder)
     return code
