--- a/soak/checks.py
+++ b/soak/checks.py
@@ -246,12 +246,12 @@
             self.fail("CONFIG", "version %d is no longer in force: %s" % (version, request))
         if was_run and version > seen:
             self.seen[(host.index, request.lifetime)] = (version, request.ended)
-        due = max((at for known, at in self.acknowledged.items() if known == self.newest), default=None)
-        if due is None or request.sent < due + BOUNDS["ConfigApplyMs"] / 1000:
-            return
-        is_old = (was_run and version < self.newest) or (request.status == 404 and version == self.newest)
+        bound = request.sent - BOUNDS["ConfigApplyMs"] / 1000
+        is_due = {known for known, at in self.acknowledged.items() if at < bound}
+        is_old = (was_run and any(known > version for known in is_due)) or (
+            request.status == 404 and version == self.newest and version in is_due)
         if is_old and self.is_in_touch(host, request.sent):
-            self.fail("CONFIG", "version %d, acknowledged %.3f, is not in force: %s" % (self.newest, due, request))
+            self.fail("CONFIG", "version %d is due, %s" % (max(is_due), request))
 
     def check_budget(self):
         """Arrivals beyond the first of each request, over the last whole window."""
