--- a/soak/faults.py
+++ b/soak/faults.py
@@ -30,7 +30,7 @@
             kind = random.choice(kinds or (PLANNED if is_planned else CHAOS))
             span = min(random.choice((0.2, 0.6, 1.5, 4.0)), max(0.2, end - at))
             details = {"trouble": TROUBLES, "peer_link": LINK_MODES, "store_link": LINK_MODES,
-                       "store_mode": STORE_MODES}.get(kind, ("",))
+                       "store_mode": STORE_MODES, "configure": (1, 2, 3)}.get(kind, ("",))
             events.append((round(at, 3), kind, random.randrange(count), span, random.choice(details)))
             at += random.uniform(0.1, 1.2)
         at += 1.0 if is_planned else 5.0
@@ -118,8 +118,8 @@
             await self.reload(host)
             await asyncio.sleep(0.02)
 
-    async def configure(self, *_):
-        version = self.checker.newest + 1 + int(time.monotonic() * 1000) % 3
+    async def configure(self, host, length, step):
+        version = self.checker.newest + step
         self.checker.newest = version
         if await self.fleet.store("put/op/config", manifest(version)) == 200:
             self.checker.acknowledged[version] = time.monotonic()
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -66,7 +66,7 @@
 
     async def start(self):
         await self.fleet.start()
-        await self.faults.configure()
+        await self.faults.configure(None, 0, 1)
         for host in self.fleet.hosts:
             await host.start_server()
         await asyncio.sleep(0.3)
