--- a/soak/faults.py
+++ b/soak/faults.py
@@ -186,9 +186,13 @@
 
     async def trouble(self, host, length, detail):
         span = self.checker.disturb()
-        await host.trouble(detail)
+        # Servers that reject most of what comes do so all at once, for the retry budget to be of use.
+        hosts = self.fleet.hosts if detail == TROUBLES[0] else [host]
+        for one in hosts:
+            await one.trouble(detail)
         await asyncio.sleep(length)
-        await host.trouble()
+        for one in hosts:
+            await one.trouble()
         span[1] = time.monotonic()
 
     async def peer_link(self, host, length, detail):
