--- a/soak/faults.py
+++ b/soak/faults.py
@@ -99,6 +99,8 @@
             await self.reload(host)
 
     async def stop(self, host, *_, reloads_at_once=False):
+        if host.is_stopping:
+            return
         span = self.begin_planned(host)
         self.checker.stops[host.index].append(time.monotonic())
         host.is_stopping = True
@@ -113,6 +115,8 @@
         span[1] = time.monotonic()
 
     async def reload_while_starting(self, host, *_):
+        if host.is_stopping:
+            return
         await self.stop(host, reloads_at_once=True)
         for _ in range(20):
             await self.reload(host)
