--- a/soak/soak.py
+++ b/soak/soak.py
@@ -158,9 +158,12 @@
         self.check_recovery(first, end - 5, end - 1)
 
     async def end(self):
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        waiting = set(self.tasks)
+        while waiting:
+            # More than once: wait_for() may swallow a cancellation that comes along with a result.
+            for task in waiting:
+                task.cancel()
+            _, waiting = await asyncio.wait(waiting, timeout=0.5)
         await self.fleet.stop()
 
 
