Greet each new peer at once, so that a node that has started again is not taken for leaving

What callers saw: after planned stops of nodes, 503 and 500 for many seconds after the nodes were back.

Cause: a node that stops tells all its peers that it leaves. The new process told only one random peer a second, and one more each greeting interval, 500 ms on the platform. A peer that had not heard of the new incarnation took the node for leaving, and a leaving endpoint gets no call, not even as the last one. By the greetings alone this lasts up to 8 s with 16 nodes and up to 44 s with 89 (computed, 89 not measured). Where both endpoints of a region were taken for leaving, each call ended as no-target.

The test platform_path/a_node_that_has_started_again_is_not_taken_for_leaving failed before the change, three of three runs, each after its patience of 30 s, and passes with it.

Change: the gossip schedule remembers which peers are new in the list, and each of them is exchanged with once, eight at each tick.

--- a/nutmegarch/membership/gossip_schedule.cpp
+++ b/nutmegarch/membership/gossip_schedule.cpp
@@ -1,9 +1,26 @@
 #include "nutmegarch/membership/gossip_schedule.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace nutmegarch::membership {
 
+void gossip_schedule::set_peers(std::vector<std::string> peers) {
+  std::set<std::string> listed(peers.begin(), peers.end());
+  const auto is_gone = [&](const std::string& address) { return listed.count(address) == 0; };
+  unmet_.erase(std::remove_if(unmet_.begin(), unmet_.end(), is_gone), unmet_.end());
+  std::set_difference(listed.begin(), listed.end(), known_.begin(), known_.end(), std::back_inserter(unmet_));
+  known_ = std::move(listed);
+  peers_ = std::move(peers);
+}
+
+std::vector<std::string> gossip_schedule::due_for_greeting() {
+  const std::size_t count = std::min(unmet_.size(), settings_.most_greetings);
+  std::vector<std::string> greeted(unmet_.end() - static_cast<std::ptrdiff_t>(count), unmet_.end());
+  unmet_.resize(unmet_.size() - count);
+  return greeted;
+}
+
 std::vector<std::string> gossip_schedule::due(time_point now) {
   if (now < next_exchange_ || peers_.empty()) {
     return {};
--- a/nutmegarch/membership/gossip_schedule.h
+++ b/nutmegarch/membership/gossip_schedule.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,8 @@
   duration silence = std::chrono::seconds(15);
   /// Shortest time between two reads that nobody asked for.
   duration least_read_interval = std::chrono::seconds(10);
+  /// Peers that are new in the list and are greeted at once.
+  std::size_t most_greetings = 8;
   /// Time between two exchanges with peers whose incarnation is not known yet.
   duration greeting_interval = std::chrono::milliseconds(40);
   /// Addresses of peers that are known before any host list is read.
@@ -35,12 +38,16 @@
       : settings_(settings), random_(random) {}
 
   /// Replaces the peers, by address.
-  void set_peers(std::vector<std::string> peers) { peers_ = std::move(peers); }
+  void set_peers(std::vector<std::string> peers);
   const std::vector<std::string>& peers() const { return peers_; }
 
   /// Peers to exchange with now; empty when it is not yet time.
   std::vector<std::string> due(time_point now);
 
+  /// Peers that have not been in the list before, to exchange with now. Each is named once, so that all of
+  /// them learn soon that this node is there; a few at a time.
+  std::vector<std::string> due_for_greeting();
+
   /// There is something to tell peers.
   void on_news() { has_news_ = true; }
 
@@ -60,6 +67,9 @@
   gossip_settings settings_;
   random_source& random_;
   std::vector<std::string> peers_;
+  /// The peers again, and those of them that are to be greeted.
+  std::set<std::string> known_;
+  std::vector<std::string> unmet_;
   time_point next_exchange_{};
   time_point next_news_{};
   bool has_news_ = false;
--- a/nutmegarch/node/control_path.cpp
+++ b/nutmegarch/node/control_path.cpp
@@ -63,6 +63,8 @@
     const std::lock_guard<std::mutex> lock(state_.mutex);
     const time_point now = state_.clock.now();
     due = state_.gossip.due(now);
+    const std::vector<std::string> greeted = state_.gossip.due_for_greeting();
+    due.insert(due.end(), greeted.begin(), greeted.end());
     if (now >= next_greeting_) {
       const std::string stranger = state_.endpoints.find_unknown();
       if (!stranger.empty()) {
--- a/unit_tests/membership/membership_test.cpp
+++ b/unit_tests/membership/membership_test.cpp
@@ -142,6 +142,25 @@
   BOOST_TEST(reads <= 5);
 }
 
+BOOST_AUTO_TEST_CASE(each_new_peer_is_greeted_once) {
+  random_source random(1);
+  gossip_settings settings;
+  settings.most_greetings = 2;
+  gossip_schedule schedule(settings, random);
+  schedule.set_peers({"c", "a", "b"});
+  std::set<std::string> greeted;
+  for (std::size_t left : {std::size_t{2}, std::size_t{1}, std::size_t{0}}) {
+    const std::vector<std::string> due = schedule.due_for_greeting();
+    BOOST_TEST(due.size() == left);
+    greeted.insert(due.begin(), due.end());
+  }
+  BOOST_TEST(greeted.size() == 3U);
+  schedule.set_peers({"a", "b", "d", "e"});
+  schedule.set_peers({"a", "b", "d"});
+  BOOST_TEST(schedule.due_for_greeting() == std::vector<std::string>{"d"}, boost::test_tools::per_element());
+  BOOST_TEST(schedule.due_for_greeting().empty());
+}
+
 // A target that loses many answers makes news many times a second.
 BOOST_AUTO_TEST_CASE(a_burst_of_news_costs_few_messages_and_is_told_soon) {
   random_source random(1);
--- a/unit_tests/platform/platform_path_test.cpp
+++ b/unit_tests/platform/platform_path_test.cpp
@@ -117,7 +117,12 @@
   /// First, since the store and the servers hold answers whose connections live on it.
   boost::asio::io_context workers_{1};
 
-  small_platform() : work_(boost::asio::make_work_guard(workers_)), store_server_(workers_, {}, store) {
+  small_platform() : small_platform(std::chrono::milliseconds(50)) {}
+  /// `gossip_interval` is the time between two exchanges with a random peer.
+  explicit small_platform(duration gossip_interval)
+      : gossip_interval_(gossip_interval),
+        work_(boost::asio::make_work_guard(workers_)),
+        store_server_(workers_, {}, store) {
     BOOST_REQUIRE(store_server_.start("127.0.0.1:0"));
     store_address_ = "127.0.0.1:" + std::to_string(store_server_.port());
     thread_ = std::thread([this]() { workers_.run(); });
@@ -160,7 +165,7 @@
                                          std::to_string(born) + "}");
   }
 
-  void start_node(std::size_t index) {
+  void start_node(std::size_t index, bool knows_seeds = true) {
     node::node_settings one;
     one.identity = {"shop", ip_of(peers_.at(index)), "z", "r", {}, 1};
     one.regions = {{"z", "r"}};
@@ -171,8 +176,11 @@
     one.target.address = ip_of(peers_.at(index)) + ":20001";
     one.platform.address = store_address_;
     one.platform.dialect = "metadata-store";
-    one.gossip.seeds = {peers_.at(1 - index)};
-    one.gossip.interval = std::chrono::milliseconds(50);
+    if (knows_seeds) {
+      one.gossip.seeds = {peers_.at(1 - index)};
+    }
+    one.gossip.interval = gossip_interval_;
+    one.gossip.greeting_interval = gossip_interval_;
     one.store.first_pause = std::chrono::milliseconds(20);
     one.store.longest_pause = std::chrono::milliseconds(100);
     one.lifecycle.leave_grace = std::chrono::milliseconds(50);
@@ -238,6 +246,7 @@
     return answer;
   }
 
+  duration gossip_interval_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
   http::server store_server_;
   std::string store_address_;
@@ -248,6 +257,19 @@
   int runs_before_ = 0;
 };
 
+/// A larger fleet, in which it takes long until two given nodes exchange by chance.
+struct large_platform : small_platform {
+  large_platform() : small_platform(std::chrono::minutes(1)) {
+    constexpr int machines = 40;
+    for (int i = 0; i < machines; ++i) {
+      store.put("servers/far-" + std::to_string(i),
+                R"({"Service": "far", "Address": ")" + ip_of(free_address()) +
+                    R"(:20001", "Zone": "z", "Version": "v1", "Slots": 4, "State": "ready", )" +
+                    R"("ColdRemainingMs": 0, "Sequence": 1, "born": 1000})");
+    }
+  }
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(platform_path)
@@ -380,6 +402,16 @@
   BOOST_TEST(ask(0, "GET", "/look/1").status == 200);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_node_that_has_started_again_is_not_taken_for_leaving, large_platform) {
+  nodes[1]->leave();
+  nodes[1]->wait();
+  nodes.erase(1);
+  servers[0]->set_refuses(true);
+  BOOST_REQUIRE(ask(0, "GET", "/look/1").status == 503);
+  start_node(1, false);
+  BOOST_TEST(wait_for([&]() { return ask(0, "GET", "/look/1").status == 200; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace nutmegarch::platform_adapter
