Refuse a settings file of over 1 MiB unread

A node reads its settings anew at SIGHUP beside all that it holds for its calls, and read the whole file whatever its size: a file of 1 GiB took 2160 MB of memory, over eight times what a machine may use, after which the platform would have ended the process and all open requests with it. At most 1 MiB is read now, and 64 MiB of other files.

--- a/nutmegarch/command/command_line.cpp
+++ b/nutmegarch/command/command_line.cpp
@@ -1,8 +1,8 @@
 #include "nutmegarch/command/command_line.h"
 
+#include <array>
 #include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include "nutmegarch/command/commands.h"
 #include "nutmegarch/http/address.h"
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr duration get_timeout = std::chrono::seconds(3);
+/// Bytes of a file that are read at once.
+constexpr std::size_t read_piece = 16U << 10U;
 
 }  // namespace
 
@@ -32,14 +34,20 @@
   return std::nullopt;
 }
 
-std::optional<std::string> read_file(const std::string& path) {
+std::optional<std::string> read_file(const std::string& path, std::size_t most_bytes) {
   std::ifstream file(path, std::ios::binary);
   if (!file) {
     return std::nullopt;
   }
-  std::ostringstream content;
-  content << file.rdbuf();
-  return content.str();
+  std::string content;
+  std::array<char, read_piece> piece{};
+  while (file.read(piece.data(), piece.size()) || file.gcount() > 0) {
+    content.append(piece.data(), static_cast<std::size_t>(file.gcount()));
+    if (content.size() > most_bytes) {
+      return std::nullopt;
+    }
+  }
+  return content;
 }
 
 std::optional<std::string> get(const std::string& address, const std::string& path) {
--- a/nutmegarch/command/command_line.h
+++ b/nutmegarch/command/command_line.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <iostream>
 #include <optional>
 #include <string>
@@ -18,8 +19,13 @@
 std::optional<int> parse(TCLAP::CmdLine& line, const std::string& name,
                          const std::vector<std::string>& words);
 
-/// Reads a file whole; nothing when it can't be read.
-std::optional<std::string> read_file(const std::string& path);
+/// Largest file that is read, in bytes: results of loads and rules.
+constexpr std::size_t most_file_bytes = 64U << 20U;
+/// Largest settings file, in bytes. A running node reads it beside what it holds for its calls.
+constexpr std::size_t most_settings_bytes = 1U << 20U;
+
+/// Reads a file whole; nothing when it can't be read or is larger.
+std::optional<std::string> read_file(const std::string& path, std::size_t most_bytes = most_file_bytes);
 
 /// Reads a settings file with `read`, one of the read_..._settings() functions. Prints what is wrong with it;
 /// then nothing is returned, and the command ends with bad_usage.
@@ -27,9 +33,9 @@
 std::optional<Settings> read_settings(
     const std::string& path,
     std::variant<Settings, std::vector<settings::settings_error>> (*read)(const std::string& text)) {
-  const std::optional<std::string> text = read_file(path);
+  const std::optional<std::string> text = read_file(path, most_settings_bytes);
   if (!text) {
-    std::cerr << path << ": can't be read\n";
+    std::cerr << path << ": can't be read, or is too large\n";
     return std::nullopt;
   }
   std::variant<Settings, std::vector<settings::settings_error>> found = read(*text);
--- a/unit_tests/command/child_process.cpp
+++ b/unit_tests/command/child_process.cpp
@@ -90,15 +90,23 @@
 std::string child_process::output() const { return content_of(output_); }
 
 bool child_process::blocks(int signal) const {
+  const std::string mask = status_line("SigBlk");
+  return !mask.empty() && (std::stoull(mask, nullptr, 16) >> static_cast<unsigned>(signal - 1) & 1U) != 0;
+}
+
+std::size_t child_process::most_memory() const {
+  const std::string kilobytes = status_line("VmHWM");
+  return kilobytes.empty() ? 0 : std::stoull(kilobytes) << 10U;
+}
+
+std::string child_process::status_line(const std::string& name) const {
   std::istringstream status(content_of("/proc/" + std::to_string(pid_) + "/status"));
-  const std::string name = "SigBlk:\t";
   for (std::string line; std::getline(status, line);) {
-    if (line.compare(0, name.size(), name) == 0) {
-      const unsigned long long mask = std::stoull(line.substr(name.size()), nullptr, 16);
-      return (mask >> static_cast<unsigned>(signal - 1) & 1U) != 0;
+    if (line.compare(0, name.size() + 2, name + ":\t") == 0) {
+      return line.substr(name.size() + 2);
     }
   }
-  return false;
+  return {};
 }
 
 }  // namespace nutmegarch::command
--- a/unit_tests/command/child_process.h
+++ b/unit_tests/command/child_process.h
@@ -34,8 +34,13 @@
 
   /// True when the main thread holds the signal back; not while it waits for the signal.
   bool blocks(int signal) const;
+  /// Most memory that it has had at once so far, in bytes.
+  std::size_t most_memory() const;
 
  private:
+  /// A line of the system's report on the process, without its name.
+  std::string status_line(const std::string& name) const;
+
   std::filesystem::path output_;
   pid_t pid_ = -1;
   std::optional<int> ended_;
--- a/unit_tests/command/node_process_test.cpp
+++ b/unit_tests/command/node_process_test.cpp
@@ -6,12 +6,20 @@
 #include <thread>
 #include <unistd.h>
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "nutmegarch/http/address.h"
 #include "nutmegarch/http/client_pool.h"
 
+#include "stand_ins/store_stand_in.h"
 #include "unit_tests/command/child_process.h"
 #include "unit_tests/loopback.h"
 
@@ -59,13 +67,16 @@
   std::string settings() const { return folder_ / "node.json"; }
   std::string output() const { return folder_ / "output"; }
   std::string admin() const { return ip_ + ":20003"; }
+  std::string callers() const { return ip_ + ":20002"; }
+  std::string target() const { return ip_ + ":20001"; }
+  std::string store() const { return ip_ + ":20009"; }
 
   std::string content() const {
     return R"({"node": {"service": "shop", "host": ")" + ip_ +
            R"(", "domain": "z", "region": "r"}, "listen": {"callers": ")" + ip_ + R"(:20002", "peers": ")" +
            ip_ + R"(:20000", "admin": ")" + ip_ + R"(:20003"}, "target": {"address": ")" + ip_ +
            R"(:20001"}, "platform": {"address": ")" + ip_ +
-           R"(:20009"}, "lifecycle": {"leave_grace": "50ms"}})";
+           R"(:20009", "dialect": "metadata-store"}, "lifecycle": {"leave_grace": "50ms"}})";
   }
 
   /// Replaces the settings at one moment, as the platform does.
@@ -139,6 +150,156 @@
   int pipe_ = -1;
 };
 
+/// Answers each request after a while, so that requests are always in flight.
+class slow_target final : public http::request_handler {
+ public:
+  explicit slow_target(boost::asio::io_context& io) : io_(io) {}
+
+  void on_request(std::uint64_t, request_message request, reply answer) override {
+    ++seen;
+    const std::string id = find_header(request.fields, "Nutmegarch-Attempt-Id");
+    const std::shared_ptr<boost::asio::steady_timer> timer =
+        std::make_shared<boost::asio::steady_timer>(io_, std::chrono::milliseconds(20));
+    timer->async_wait([timer, id, answer = std::move(answer)](const boost::system::error_code&) {
+      answer({200,
+              {{"Nutmegarch-Attempt-Id", id}, {"Nutmegarch-Response-Signature", "s"}},
+              std::string(5000, 'a')});
+    });
+  }
+
+  std::atomic<int> seen{0};
+
+ private:
+  boost::asio::io_context& io_;
+};
+
+/// A running node with a target and a store that serve one route.
+class served_node : public node_files {
+ public:
+  served_node()
+      : work_(boost::asio::make_work_guard(io_)),
+        target_handler_(io_),
+        target_server_(io_, {}, target_handler_),
+        store_server_(io_, {}, store_handler_) {
+    BOOST_REQUIRE(target_server_.start(target()));
+    BOOST_REQUIRE(store_server_.start(store()));
+    store_handler_.put(
+        "op/config",
+        R"({"Version": 1, "Resources": [{"ResourceType": "Routes", "Metadata": {"Name": "look"},
+                           "Spec": {"Host": "shop.example", "Prefix": "/", "Kind": "idempotent",
+                           "TimeoutMs": 20000, "TargetLatencyMs": 1000, "Priority": 0, "Service": "shop",
+                           "MaxAttempts": 2}}]})");
+    store_handler_.put("servers/i-0", R"({"Service": "shop", "Address": ")" + target() +
+                                          R"(", "Zone": "z", "Version": "v1", "Slots": 16, "State": "ready",
+                                          "ColdRemainingMs": 0, "Sequence": 1, "born": 1000})");
+    thread_ = std::thread([this]() { io_.run(); });
+    write(content());
+    process = std::make_unique<child_process>(words(), output());
+    BOOST_REQUIRE(serves(*this, *process));
+    BOOST_REQUIRE(wait_for([this]() { return status_of_route() == 200; }));
+  }
+  served_node(const served_node&) = delete;
+  served_node& operator=(const served_node&) = delete;
+  ~served_node() {
+    io_.stop();
+    thread_.join();
+  }
+
+  /// Requests that have reached the target.
+  int seen() const { return target_handler_.seen; }
+
+  std::unique_ptr<child_process> process;
+
+ private:
+  int status_of_route();
+
+  boost::asio::io_context io_{1};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+  slow_target target_handler_;
+  stand_ins::store_stand_in store_handler_;
+  http::server target_server_;
+  http::server store_server_;
+  std::thread thread_;
+};
+
+/// A caller's connection.
+class caller_connection {
+ public:
+  explicit caller_connection(const node_files& files) : socket_(io_) {
+    socket_.connect(*http::parse_address(files.callers()), error_);
+  }
+
+  /// Sends `count` requests at once and reads their answers. How many were whole.
+  int ask(int count) {
+    std::string text;
+    for (int i = 0; i < count; ++i) {
+      text += "GET /look HTTP/1.1\r\nHost: shop.example\r\nNutmegarch-Attempt-Id: a" +
+              std::to_string(++last_id) + "\r\nNutmegarch-Deadline-Ms: 20000\r\n\r\n";
+    }
+    boost::asio::write(socket_, boost::asio::buffer(text), error_);
+    int whole = 0;
+    while (!error_ && whole < count) {
+      boost::beast::http::response<boost::beast::http::string_body> answer;
+      boost::beast::http::read(socket_, buffer_, answer, error_);
+      whole += error_ ? 0 : 1;
+      last_status = error_ ? 0 : answer.result_int();
+    }
+    return whole;
+  }
+
+  unsigned last_status = 0;
+
+ private:
+  inline static std::atomic<int> last_id{0};
+
+  boost::asio::io_context io_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::beast::flat_buffer buffer_;
+  boost::system::error_code error_;
+};
+
+int served_node::status_of_route() {
+  caller_connection caller(*this);
+  caller.ask(1);
+  return static_cast<int>(caller.last_status);
+}
+
+/// Callers that keep their connections, that send several requests at once, and that come anew each time.
+class steady_callers {
+ public:
+  explicit steady_callers(const node_files& files) {
+    for (int i = 0; i < 4; ++i) {
+      threads_.emplace_back([this, &files, at_once = i % 2 == 0 ? 1 : 4]() {
+        caller_connection kept(files);
+        while (!stops_) {
+          sent += 2 * at_once;
+          answered += kept.ask(at_once);
+          answered += caller_connection(files).ask(at_once);
+        }
+      });
+    }
+  }
+  steady_callers(const steady_callers&) = delete;
+  steady_callers& operator=(const steady_callers&) = delete;
+  ~steady_callers() { stop(); }
+
+  void stop() {
+    stops_ = true;
+    for (std::thread& thread : threads_) {
+      if (thread.joinable()) {
+        thread.join();
+      }
+    }
+  }
+
+  std::atomic<int> sent{0};
+  std::atomic<int> answered{0};
+
+ private:
+  std::atomic<bool> stops_{false};
+  std::vector<std::thread> threads_;
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(node_process)
@@ -193,6 +354,60 @@
   }
 }
 
+BOOST_FIXTURE_TEST_CASE(reloads_of_broken_settings_under_load_cost_no_answer_and_no_connection, served_node) {
+  caller_connection idle(*this);
+  BOOST_TEST(idle.ask(1) == 1);
+  steady_callers load(*this);
+  const std::string good = content();
+  for (int i = 0; i < 20; ++i) {
+    for (const std::string& next :
+         {good.substr(0, good.size() / 2), std::string(), std::string("[1e999, \"\xff"),
+          std::string(100'000, '['), "{\"log\": {\"level\": 1}, " + good.substr(1),
+          std::string(3U << 20U, ' ') + good, good}) {
+      write(next);
+      process->send(SIGHUP);
+      std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+    std::filesystem::remove(settings());
+    process->send(SIGHUP);
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  }
+  load.stop();
+  BOOST_TEST(load.sent > 0);
+  BOOST_TEST(load.answered == load.sent);
+  BOOST_TEST(idle.ask(1) == 1);
+  BOOST_TEST(process->is_running());
+  BOOST_TEST(count_of(process->output(), "event=node-started") == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(signals_in_any_order_around_a_stop_cost_no_answer, served_node) {
+  caller_connection idle(*this);
+  BOOST_TEST(idle.ask(1) == 1);
+  const int before = seen();
+  int answered = 0;
+  std::thread last([&]() { answered = caller_connection(*this).ask(8); });
+  BOOST_TEST(wait_for([&]() { return seen() == before + 8; }));
+  for (const int signal : {SIGHUP, SIGTERM, SIGHUP, SIGTERM, SIGINT, SIGHUP}) {
+    process->send(signal);
+  }
+  last.join();
+  BOOST_TEST(answered == 8);
+  const std::optional<int> ended = process->wait(patience);
+  BOOST_TEST((ended == 0));
+  BOOST_TEST(count_of(process->output(), "event=node-stopped") == 1U);
+}
+
+// A reload must not take the node's memory.
+BOOST_FIXTURE_TEST_CASE(a_reload_of_a_huge_file_is_refused_unread, served_node) {
+  std::ofstream(settings()).close();
+  std::filesystem::resize_file(settings(), 1ULL << 30U);
+  process->send(SIGHUP);
+  BOOST_TEST(wait_for(
+      [&]() { return !process->is_running() || count_of(process->output(), "result=refused") == 1; }));
+  BOOST_TEST(process->is_running());
+  BOOST_TEST(process->most_memory() < 200U << 20U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace nutmegarch::command
