--- a/unit_tests/platform/published_format_test.cpp
+++ b/unit_tests/platform/published_format_test.cpp
@@ -56,6 +56,27 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(numbers_out_of_range_are_brought_into_it_and_end_no_process) {
+  for (const char* const born : {"1000.5", "-7", "1e300", "18446744073709551615"}) {
+    const result<membership::published_host, membership::published_value_error> read = parse_server(server_item(
+        R"({"Service": "s", "Address": "10.1.0.1:80", "Zone": "z", "Slots": 4, "State": "ready", "born": )" +
+        std::string(born) + R"(, "ColdRemainingMs": 1e300})"));
+    BOOST_REQUIRE(succeeded(read));
+    const membership::published_host& host = std::get<membership::published_host>(read);
+    BOOST_TEST(host.born >= 0);
+    BOOST_TEST((host.cold > duration{}));
+  }
+  const result<routes::route_configuration, membership::published_value_error> read = parse_configuration(
+      R"({"Version": 7, "Resources": [{"ResourceType": "Routes", "Metadata": {"Name": "r"}, "Spec": {
+          "Host": "a", "Prefix": "/", "Kind": "idempotent", "Service": "s", "TimeoutMs": 1e300,
+          "MaxAttempts": -1e300, "Priority": 1e300}}]})");
+  BOOST_REQUIRE(succeeded(read));
+  const routes::route& route = std::get<routes::route_configuration>(read).routes.at(0);
+  BOOST_TEST((route.timeout > duration{}));
+  BOOST_TEST(route.most_attempts == 0);
+  BOOST_TEST(route.priority > 0);
+}
+
 BOOST_AUTO_TEST_CASE(a_server_is_read_and_the_start_of_its_process_kept) {
   const result<membership::published_host, membership::published_value_error> read = parse_server(server_item(
       R"({"Service": "s", "Address": "10.0.0.1:80", "Zone": "z", "Version": "v1", "Slots": 8,
