The inner protocol brings the time left and the load of a peer into range

The codec promises that values out of range are brought into it. A negative time left and a load that is no number, is infinite or negative passed; such a load would never compare as more than another one. Both tests failed before.

--- a/nutmegarch/protocol/codec.cpp
+++ b/nutmegarch/protocol/codec.cpp
@@ -1,6 +1,7 @@
 #include "nutmegarch/protocol/codec.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace nutmegarch::protocol {
 
@@ -100,7 +101,7 @@
   to.repeated = from.getRepeated();
   to.idempotent = from.getIdempotent();
   to.retry_tokens = from.getRetryTokens();
-  to.remaining = duration(from.getRemaining());
+  to.remaining = std::max(duration{}, duration(from.getRemaining()));
   to.fingerprint = from.getFingerprint();
   if (from.getTicketSequence() != 0) {
     to.ticket = order_ticket{from.getTicketIncarnation(), from.getTicketSequence()};
@@ -151,8 +152,9 @@
   answer.message.fields = read_headers(from.getHeaders());
   answer.message.body = bytes_of(from.getBody());
   answer.tokens_back = from.getTokensBack();
-  answer.report = {from.getLoad(), admission_level{from.getLevel()}, from.getLeaving(),
-                   from.getIncarnation()};
+  const double load = from.getLoad();
+  answer.report = {std::isfinite(load) && load > 0 ? load : 0, admission_level{from.getLevel()},
+                   from.getLeaving(), from.getIncarnation()};
   answer.route_level.cutoff = from.getRouteLevel();
   answer.calls_on = from.getCallsOn();
   if (from.getTicketSequence() != 0) {
--- a/unit_tests/protocol/peer_network_test.cpp
+++ b/unit_tests/protocol/peer_network_test.cpp
@@ -1,10 +1,14 @@
 #include "nutmegarch/protocol/peer_network.h"
 
+#include <cmath>
 #include <future>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
+#include <capnp/message.h>
+
+#include "nutmegarch/protocol/codec.h"
 
 #include "unit_tests/loopback.h"
 
@@ -91,6 +95,24 @@
 
 BOOST_AUTO_TEST_SUITE(peers)
 
+BOOST_AUTO_TEST_CASE(a_call_whose_time_left_is_negative_has_none_left) {
+  call_context context;
+  context.remaining = duration::min();
+  capnp::MallocMessageBuilder builder;
+  wire::CallContext::Builder written = builder.initRoot<wire::CallContext>();
+  write_context(context, 0, written);
+  BOOST_TEST((read_context(written.asReader()).context.remaining == duration{}));
+}
+
+BOOST_AUTO_TEST_CASE(a_load_that_is_no_number_counts_as_none) {
+  for (const double load : {std::nan(""), HUGE_VAL, -1.0}) {
+    capnp::MallocMessageBuilder builder;
+    wire::Answer::Builder written = builder.initRoot<wire::Answer>();
+    written.setLoad(load);
+    BOOST_TEST(read(written.asReader()).report.load == 0);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(a_call_comes_back_with_its_own_answer, two_networks) {
   const result<peer_answer, peer_error> outcome = call(address, "GET /a");
   BOOST_REQUIRE(succeeded(outcome));
