--- /dev/null
+++ b/unit_tests/fuzz/format_fuzz_test.cpp
@@ -0,0 +1,137 @@
+#include <cmath>
+#include <cstring>
+
+#include <boost/test/unit_test.hpp>
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include "nutmegarch/protocol/codec.h"
+
+#include "platform/published_format.h"
+#include "unit_tests/fuzz/mutator.h"
+
+namespace nutmegarch {
+
+namespace {
+
+constexpr const char* configuration_text = R"({"Version": 7, "Resources": [
+  {"ResourceType": "Routes", "Metadata": {"Name": "r1"}, "Spec": {"Host": "a.example", "Prefix": "/p/",
+   "Kind": "non_idempotent", "TimeoutMs": 1200, "TargetLatencyMs": 1500, "Priority": 0, "Service": "s1",
+   "MaxAttempts": 2}},
+  {"ResourceType": "Routes", "Metadata": {"Name": "r2"}, "Spec": {"Host": "b.example", "Prefix": "/",
+   "Kind": "idempotent", "TimeoutMs": 0, "TargetLatencyMs": 10, "Priority": 2,
+   "Split": [{"Service": "s1", "Weight": 90}, {"Service": "s2", "Weight": 10}], "MaxAttempts": 3}},
+  {"ResourceType": "Services", "Metadata": {"Name": "s1"}, "Spec": {"MaxConnections": 322}},
+  {"ResourceType": "Limits", "Metadata": {}, "Spec": {"MaxHeaderBytes": 1000, "MaxBodyBytes": 2000,
+   "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}]})";
+
+constexpr const char* server_text = R"({"Service": "shop", "Address": "10.1.0.1:8341", "Zone": "z",
+  "Version": "v1", "Slots": 4, "State": "ready", "ColdRemainingMs": 10, "Sequence": 1, "born": 1000})";
+
+constexpr const char* listing_text = R"({"items": [{"Key": "servers/i-1", "Value": "eyJhIjogMX0=",
+  "Revision": 5}, {"Key": "servers/i-2", "Revision": 6, "Tombstone": true}], "AsOf": 7, "MorePages": true})";
+
+/// A message in its wire form.
+std::string flatten(capnp::MallocMessageBuilder& builder) {
+  const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
+  const kj::ArrayPtr<const kj::byte> bytes = words.asBytes();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+/// Reads a message of the peers as a connection would; an error of the library is one that it answers.
+template <typename Wire, typename Read>
+void read_wire(const std::string& bytes, Read read) {
+  const kj::Array<capnp::word> words =
+      kj::heapArray<capnp::word>((bytes.size() + sizeof(capnp::word) - 1) / sizeof(capnp::word));
+  std::memcpy(const_cast<capnp::word*>(words.begin()), bytes.data(), bytes.size());
+  try {
+    capnp::FlatArrayMessageReader reader(words);
+    read(reader.getRoot<Wire>());
+  } catch (const kj::Exception&) {
+    // Bytes that are no message.
+  }
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(fuzz_formats)
+
+BOOST_AUTO_TEST_CASE(whatever_the_store_says_is_read_or_refused) {
+  fuzz::mutator random;
+  BOOST_TEST_MESSAGE("seed " << random.seed());
+  int read = 0;
+  for (std::uint64_t i = 0; i < fuzz::mutator::rounds(20'000); ++i) {
+    const std::string text = random.mutate(configuration_text);
+    const result<routes::route_configuration, membership::published_value_error> configuration =
+        platform_adapter::parse_configuration(text);
+    if (succeeded(configuration)) {
+      ++read;
+      for (const routes::route& route : std::get<routes::route_configuration>(configuration).routes) {
+        BOOST_REQUIRE_MESSAGE(route.timeout >= duration{} && route.most_attempts >= 0, text);
+      }
+    }
+    const membership::published_item item{"servers/i-1", random.mutate(server_text), 3, false};
+    platform_adapter::parse_server(item);
+    read += platform_adapter::read_store_answer(random.mutate(listing_text)).has_value() ? 1 : 0;
+  }
+  BOOST_TEST(read > 0);
+}
+
+BOOST_AUTO_TEST_CASE(whatever_a_peer_writes_is_read_into_range_or_refused) {
+  fuzz::mutator random;
+  BOOST_TEST_MESSAGE("seed " << random.seed());
+
+  // One of each message that holds something everywhere.
+  protocol::peer_call call;
+  call.context.service = "stockyard";
+  call.context.route = "GET /a";
+  call.context.attempt_id = "a1";
+  call.context.ticket = order_ticket{7, 8};
+  call.request = std::make_shared<const request_message>(request_message{"POST", "/a", {{"A", "b"}}, "body"});
+  capnp::MallocMessageBuilder context_builder;
+  protocol::write_context(call.context, 5, context_builder.initRoot<protocol::wire::CallContext>());
+  protocol::peer_answer answer;
+  answer.message = {200, {{"A", "b"}}, "body"};
+  answer.rule = "quarantine";
+  capnp::MallocMessageBuilder answer_builder;
+  protocol::write(answer, answer_builder.initRoot<protocol::wire::Answer>());
+  protocol::peer_exchange exchange;
+  exchange.self.host = "h";
+  exchange.digest.push_back({"key", 1, 2, 3});
+  exchange.documents.push_back({{"key", 1, 2, 3}, "body"});
+  exchange.marks.push_back({9, 2});
+  capnp::MallocMessageBuilder exchange_builder;
+  protocol::write(exchange, exchange_builder.initRoot<protocol::wire::Exchange>());
+
+  const std::string context_bytes = flatten(context_builder);
+  const std::string answer_bytes = flatten(answer_builder);
+  const std::string exchange_bytes = flatten(exchange_builder);
+  int read = 0;
+  for (std::uint64_t i = 0; i < fuzz::mutator::rounds(2'000); ++i) {
+    read_wire<protocol::wire::CallContext>(random.mutate(context_bytes),
+                                           [&](protocol::wire::CallContext::Reader from) {
+                                             const protocol::peer_call got = protocol::read_context(from);
+                                             BOOST_REQUIRE(got.context.cls <= call_class::browse);
+                                             BOOST_REQUIRE(got.context.shed_rank < shed_rank_count);
+                                             BOOST_REQUIRE(got.context.remaining >= duration{});
+                                             ++read;
+                                           });
+    read_wire<protocol::wire::Answer>(random.mutate(answer_bytes), [&](protocol::wire::Answer::Reader from) {
+      const protocol::peer_answer got = protocol::read(from);
+      BOOST_REQUIRE(got.outcome <= call_outcome::failed);
+      BOOST_REQUIRE(got.reason <= last_call_reason);
+      BOOST_REQUIRE(std::isfinite(got.report.load));
+      ++read;
+    });
+    read_wire<protocol::wire::Exchange>(random.mutate(exchange_bytes),
+                                        [&](protocol::wire::Exchange::Reader from) {
+                                          protocol::read(from);
+                                          ++read;
+                                        });
+  }
+  BOOST_TEST(read > 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace nutmegarch
