--- a/performance_test/virtual_time/deployment.cpp
+++ b/performance_test/virtual_time/deployment.cpp
@@ -45,7 +45,9 @@
   }
   for (const std::unique_ptr<fake_node>& node : nodes_) {
     for (const service_plan& service : plan_.services) {
-      if (service.name == node->settings().service || service.name == node->settings().calls) {
+      const bool is_called =
+          service.name == node->settings().service || service.name == node->settings().calls;
+      if (is_called || !plan_.routes.empty()) {
         connect(*node, service);
       }
     }
@@ -65,16 +67,20 @@
 
 double deployment::capacity(std::size_t service) const {
   const service_shape& shape = plan_.services.at(service).shape;
-  return static_cast<double>(plan_.places.size()) * shape.slots / seconds(shape.mean);
+  const std::size_t own_places = plan_.services.at(service).places.size();
+  const std::size_t servers = own_places == 0 ? plan_.places.size() : own_places;
+  return static_cast<double>(servers) * shape.slots / seconds(shape.mean);
 }
 
 void deployment::add_service(const service_plan& service) {
-  for (std::size_t i = 0; i < plan_.places.size(); ++i) {
+  const std::vector<std::pair<std::string, std::string>>& places =
+      service.places.empty() ? plan_.places : service.places;
+  for (std::size_t i = 0; i < places.size(); ++i) {
     fake_node_settings settings;
     settings.host = service.name + '-' + std::to_string(i);
     settings.service = service.name;
-    settings.region = plan_.places.at(i).first;
-    settings.domain = plan_.places.at(i).second;
+    settings.region = places.at(i).first;
+    settings.domain = places.at(i).second;
     settings.shape = service.shape;
     settings.calls = service.calls;
     settings.receiver = plan_.receiver;
@@ -82,7 +88,8 @@
     settings.receiver.pass_through = plan_.baseline;
     settings.sender = plan_.sender;
     settings.sender.pass_through = plan_.baseline;
-    settings.uses_tickets = !plan_.baseline;
+    settings.uses_tickets = plan_.uses_tickets && !plan_.baseline;
+    settings.routes = plan_.routes;
     nodes_.push_back(std::make_unique<fake_node>(events_, random_, network_, settings));
   }
 }
--- a/performance_test/virtual_time/deployment.h
+++ b/performance_test/virtual_time/deployment.h
@@ -17,6 +17,8 @@
   service_shape shape;
   /// The service that each call goes on to call; empty for the last.
   std::string calls;
+  /// Region and failure domain of each server; empty for those of the plan.
+  std::vector<std::pair<std::string, std::string>> places = {};
 };
 
 /// What a deployment is made of.
@@ -29,6 +31,10 @@
   policy::sender_settings sender;
   report_quality reports = report_quality::exact;
   duration domain_delay = std::chrono::microseconds(500);
+  /// Routes that differ in their work. With these every node may call every service.
+  route_works routes;
+  /// Orders run under tickets.
+  bool uses_tickets = true;
 };
 
 /// The places of the Shewa deployment.
@@ -50,6 +56,9 @@
   fake_network& network() { return network_; }
   const deployment_plan& plan() const { return plan_; }
 
+  /// All nodes.
+  const std::vector<std::unique_ptr<fake_node>>& nodes() const { return nodes_; }
+
   /// The nodes of the service with this index in the plan.
   std::vector<fake_node*> nodes(std::size_t service) const;
 
--- a/performance_test/virtual_time/fake_node.cpp
+++ b/performance_test/virtual_time/fake_node.cpp
@@ -14,6 +14,14 @@
 constexpr double answer_bytes = 2'000;
 constexpr double refusal_bytes = 200;
 
+double work_factor(const fake_node_settings& settings, const std::string& route) {
+  auto found = settings.routes.find(route);
+  if (found != settings.routes.end()) {
+    return seconds(found->second.mean) / seconds(settings.shape.mean);
+  }
+  return route == "long" ? settings.shape.long_factor : 1;
+}
+
 }  // namespace
 
 fake_node::fake_node(event_queue& events, random_source& random, fake_network& network,
@@ -66,7 +74,7 @@
   call->arrived = events_.now();
   call->deadline = context.remaining == duration::max() ? never : events_.now() + context.remaining;
   const policy::retry_ledger_ptr ledger(new policy::retry_ledger(context.retry_tokens));
-  inbound_[key] = inbound{call, request, std::move(answer), ledger, 0, 0};
+  inbound_[key] = inbound{call, request, std::move(answer), ledger, 0, 0, 0};
 
   // A ticket decides first whether the order may run at all.
   if (context.ticket &&
@@ -170,8 +178,8 @@
     const std::uint64_t key = action.call->key;
     if (action.what == policy::receiver_action::kind::start) {
       downstream_.on_started(action.call->context.route);
-      const bool is_long = action.call->context.route == "long";
-      inbound_.at(key).handle = target_.run(is_long, [this, key](std::uint64_t) { work_done(key); });
+      const double factor = work_factor(settings_, action.call->context.route);
+      inbound_.at(key).handle = target_.run(factor, [this, key](std::uint64_t) { work_done(key); });
       continue;
     }
     const inbound ended = inbound_.at(key);
@@ -185,6 +193,10 @@
 
 void fake_node::work_done(std::uint64_t key) {
   inbound& running = inbound_.at(key);
+  if (!settings_.routes.empty()) {
+    call_next(key);
+    return;
+  }
   if (settings_.calls.empty()) {
     finish(key, policy::target_result::answered, call_outcome::ok, call_reason::none);
     return;
@@ -198,13 +210,46 @@
   ++context.depth;
   const duration patience =
       running.call->deadline == never ? duration::max() : running.call->deadline - events_.now();
+  call_child(key, context, patience, [this, key](call_outcome outcome, call_reason reason) {
+    const bool is_ok = outcome == call_outcome::ok;
+    finish(key, policy::target_result::answered, is_ok ? call_outcome::ok : call_outcome::failed,
+           is_ok ? call_reason::none : reason);
+  });
+}
+
+void fake_node::call_next(std::uint64_t key) {
+  inbound& running = inbound_.at(key);
+  const call_context& own = running.call->context;
+  const route_work& work = settings_.routes.at(own.route);
+  if (running.children >= work.calls.size()) {
+    finish(key, policy::target_result::answered, call_outcome::ok, call_reason::none);
+    return;
+  }
+  const std::string& route = work.calls.at(running.children);
+  ++running.children;
+  const route_work& below = settings_.routes.at(route);
+  downstream_.on_called(own.route, below.service, route);
+  call_context context = own;
+  context.route = route;
+  context.service = below.service;
+  context.ticket.reset();
+  context.inner = true;
+  context.idempotent = true;
+  ++context.depth;
+  const duration patience = std::min(below.patience, running.call->deadline - events_.now());
+  call_child(key, context, patience, [this, key](call_outcome outcome, call_reason reason) {
+    if (outcome != call_outcome::ok) {
+      finish(key, policy::target_result::answered, call_outcome::failed, reason);
+    } else if (inbound_.count(key) != 0) {
+      call_next(key);
+    }
+  });
+}
+
+void fake_node::call_child(std::uint64_t key, call_context context, duration patience, completion done) {
+  const inbound& running = inbound_.at(key);
   const std::uint64_t child =
-      call(context, patience, running.ledger, running.request,
-           [this, key](call_outcome outcome, call_reason reason) {
-             const bool is_ok = outcome == call_outcome::ok;
-             finish(key, policy::target_result::answered, is_ok ? call_outcome::ok : call_outcome::failed,
-                    is_ok ? call_reason::none : reason);
-           });
+      call(std::move(context), patience, running.ledger, running.request, std::move(done));
   auto still_running = inbound_.find(key);
   if (still_running != inbound_.end()) {
     still_running->second.child = child;
@@ -241,7 +286,8 @@
   answer.tokens_back = to.ledger->tokens();
   answer.report =
       node_report{receiver_.load(), receiver_.level(), receiver_.leaving(), orders_.incarnation()};
-  answer.calls_on = !settings_.calls.empty();
+  auto work = settings_.routes.find(to.call->context.route);
+  answer.calls_on = work == settings_.routes.end() ? !settings_.calls.empty() : !work->second.calls.empty();
   answer.route_level = downstream_.level_below(to.call->context.route, sender_, events_.now());
   to.answer(answer);
 }
--- a/performance_test/virtual_time/fake_node.h
+++ b/performance_test/virtual_time/fake_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -25,6 +26,20 @@
 
 using tracked_request_ptr = std::shared_ptr<tracked_request>;
 
+/// What the target does for a call of one route, in a deployment whose routes differ.
+struct route_work {
+  /// The service that runs it.
+  std::string service;
+  /// Mean time of its own work.
+  duration mean{};
+  /// Longest time that a target waits for a call of this route.
+  duration patience = duration::max();
+  /// Routes that the target calls one after the other when its own work is done.
+  std::vector<std::string> calls;
+};
+
+using route_works = std::map<std::string, route_work>;
+
 /// Settings of fake_node.
 struct fake_node_settings {
   std::string host;
@@ -34,6 +49,8 @@
   service_shape shape;
   /// The service that each call goes on to call; empty for the last.
   std::string calls;
+  /// Routes that differ in their work; empty when every call is of the same kind.
+  route_works routes;
   policy::receiver_settings receiver;
   policy::sender_settings sender;
   /// Orders run under tickets.
@@ -84,6 +101,8 @@
     policy::retry_ledger_ptr ledger;
     std::uint64_t handle = 0;
     std::uint64_t child = 0;
+    /// Calls of its route that have been made.
+    std::size_t children = 0;
   };
 
   void tick();
@@ -92,6 +111,9 @@
   void send(const policy::sender_action& action);
   void abandon(const policy::sender_action& action);
   void work_done(std::uint64_t key);
+  /// Makes the next call that the route of a running call asks for, or finishes it.
+  void call_next(std::uint64_t key);
+  void call_child(std::uint64_t key, call_context context, duration patience, completion done);
   void finish(std::uint64_t key, policy::target_result result, call_outcome outcome, call_reason reason);
   void respond(const inbound& to, call_outcome outcome, call_reason reason);
 
--- a/performance_test/virtual_time/fake_target.cpp
+++ b/performance_test/virtual_time/fake_target.cpp
@@ -6,9 +6,9 @@
 
 namespace nutmegarch::performance_test {
 
-std::uint64_t fake_target::run(bool is_long, work_done done) {
+std::uint64_t fake_target::run(double factor, work_done done) {
   const std::uint64_t handle = next_handle_++;
-  jobs_[handle] = job{std::move(done), is_long, false, {}};
+  jobs_[handle] = job{std::move(done), factor, false, {}};
   if (running_ < shape_.slots) {
     start(handle);
   } else {
@@ -48,7 +48,7 @@
   started.running = true;
   started.started = events_.now();
   ++running_;
-  const duration work = sample(started.is_long);
+  const duration work = sample(started.factor);
   const time_point begin = std::max(events_.now(), stalled_until_);
   events_.after(begin + work - events_.now(), [this, handle]() { end_work(handle); });
 }
@@ -65,10 +65,10 @@
   done(handle);
 }
 
-duration fake_target::sample(bool is_long) {
+duration fake_target::sample(double factor) {
   std::normal_distribution<double> normal(-0.5 * shape_.sigma * shape_.sigma, shape_.sigma);
   double work = seconds(shape_.mean) * std::exp(normal(random_.engine())) * slowdown_;
-  work *= is_long ? shape_.long_factor : 1;
+  work *= factor;
   if (shape_.contention_from > 0 && running_ > shape_.contention_from) {
     work *= std::pow(static_cast<double>(running_) / shape_.contention_from, 2.0);
   }
--- a/performance_test/virtual_time/fake_target.h
+++ b/performance_test/virtual_time/fake_target.h
@@ -34,8 +34,8 @@
   fake_target(event_queue& events, random_source& random, const service_shape& shape)
       : events_(events), random_(random), shape_(shape) {}
 
-  /// Starts a call or queues it. `done` is told when its own work is over.
-  std::uint64_t run(bool is_long, work_done done);
+  /// Starts a call or queues it; its work is `factor` times the usual. `done` is told when it is over.
+  std::uint64_t run(double factor, work_done done);
 
   /// The call has ended: frees its slot. Returns the time for which it held it.
   duration release(std::uint64_t handle);
@@ -52,14 +52,14 @@
  private:
   struct job {
     work_done done;
-    bool is_long = false;
+    double factor = 1;
     bool running = false;
     time_point started{};
   };
 
   void start(std::uint64_t handle);
   void end_work(std::uint64_t handle);
-  duration sample(bool is_long);
+  duration sample(double factor);
 
   event_queue& events_;
   random_source& random_;
