Log what the last choice of an endpoint found, to tell why a call was sent nowhere

`request-ended` gets `endpoints`: usable ones near and far, doubtful ones, those ruled out by level, and those that leave or were tried.

--- a/nutmegarch/node/request_log.cpp
+++ b/nutmegarch/node/request_log.cpp
@@ -37,6 +37,13 @@
   return text;
 }
 
+/// "near=N far=N doubtful=N shed=N out=N".
+std::string endpoints_text(const policy::endpoint_view& view) {
+  return "near=" + std::to_string(view.near) + " far=" + std::to_string(view.far) +
+         " doubtful=" + std::to_string(view.doubtful) + " shed=" + std::to_string(view.shed) +
+         " out=" + std::to_string(view.out);
+}
+
 }  // namespace
 
 void request_log::on_completed(const policy::outbound_call& call, call_outcome outcome, call_reason reason,
@@ -60,6 +67,7 @@
                       {"took_ms", to_milliseconds_text(now - call.started)},
                       {"allowed_ms", to_milliseconds_text(call.deadline - call.started)},
                       {"configuration", std::to_string(configuration)},
+                      {"endpoints", endpoints_text(call.view)},
                       {"attempts", attempts_text(call)}});
 }
 
--- a/nutmegarch/policy/outbound_call.h
+++ b/nutmegarch/policy/outbound_call.h
@@ -28,6 +28,19 @@
   /// @}
 };
 
+/// What the last choice of an endpoint found, for the log of calls that were sent nowhere.
+struct endpoint_view {
+  /// Endpoints that could be used, in this region and in others.
+  int near = 0;
+  int far = 0;
+  /// Ejected or stalled.
+  int doubtful = 0;
+  /// Ruled out by their level.
+  int shed = 0;
+  /// Leaving, gone or tried before.
+  int out = 0;
+};
+
 /// One call that this node makes for an outside caller or for its target, over all its attempts.
 struct outbound_call : boost::intrusive_ref_counter<outbound_call, boost::thread_safe_counter> {
   /// Key of the call at the adapter; unique in one node.
@@ -55,6 +68,7 @@
   bool done = false;
   bool hedged = false;
   call_reason last_refusal = call_reason::none;
+  endpoint_view view;
   /// @}
 };
 
--- a/nutmegarch/policy/sender.cpp
+++ b/nutmegarch/policy/sender.cpp
@@ -176,7 +176,7 @@
   return found->second;
 }
 
-sender::selection sender::select(service_state& service, const outbound_call& call, time_point now) {
+sender::selection sender::select(service_state& service, outbound_call& call, time_point now) {
   if (call.context.ticket && !settings_.pass_through) {
     return select_ticket_home(service, call);
   }
@@ -199,23 +199,28 @@
   }
 
   // Split the usable endpoints by region; remember whether levels alone ruled some out.
-  bool shed = false;
+  endpoint_view& view = call.view;
+  view = endpoint_view{};
   endpoint* last_resort = nullptr;
   for (const endpoint_ptr& known : service.endpoints()) {
     if (known->leaving() || now < known->gone_until || was_tried(call, *known)) {
+      ++view.out;
       continue;
     }
     if (!call.context.inner && now < known->level_expires &&
         !admits(known->level, call.context.cls, call.context.shed_rank)) {
-      shed = true;
+      ++view.shed;
       continue;
     }
     if (!service.is_usable(*known, call.context.route, now)) {
       last_resort = known.get();
+      ++view.doubtful;
       continue;
     }
     (known->distance == proximity::other_region ? far : near).push_back(known.get());
   }
+  view.near = static_cast<int>(near.size());
+  view.far = static_cast<int>(far.size());
   // Too little time for a near endpoint is too little for one behind a longer way.
   if (call.last_refusal == call_reason::deadline) {
     far.clear();
@@ -223,7 +228,7 @@
   if (!near.empty() || !far.empty()) {
     return choose_within_link(service, call, near, far, now);
   }
-  if (shed) {
+  if (view.shed > 0) {
     return {nullptr, call_reason::shed_level};
   }
   // Everything is out: a doubtful endpoint is better than none.
--- a/nutmegarch/policy/sender.h
+++ b/nutmegarch/policy/sender.h
@@ -93,7 +93,7 @@
   };
 
   service_state& state_of(const std::string& service);
-  selection select(service_state& service, const outbound_call& call, time_point now);
+  selection select(service_state& service, outbound_call& call, time_point now);
   selection select_ticket_home(const service_state& service, const outbound_call& call) const;
   /// The best of the endpoints; one in another region only when the link has room for the call.
   selection choose_within_link(service_state& service, const outbound_call& call,
