Use a doubtful near endpoint when the link has no room for the far ones

Callers of a region with one server of a service got 503 although it ran: when this server was ejected or stalled, only the far ones were looked at, and without room on the link the call ended as no-target. Now the nearest doubtful endpoint is the last resort also then. sender_decisions/a_stalled_near_endpoint_is_used_when_the_link_has_no_room fails without the change.

--- a/nutmegarch/policy/sender.cpp
+++ b/nutmegarch/policy/sender.cpp
@@ -213,7 +213,9 @@
       continue;
     }
     if (!service.is_usable(*known, call.context.route, now)) {
-      last_resort = known.get();
+      if (last_resort == nullptr || known->distance < last_resort->distance) {
+        last_resort = known.get();
+      }
       ++view.doubtful;
       continue;
     }
@@ -226,12 +228,15 @@
     far.clear();
   }
   if (!near.empty() || !far.empty()) {
-    return choose_within_link(service, call, near, far, now);
+    const selection selected = choose_within_link(service, call, near, far, now);
+    if (selected.chosen != nullptr) {
+      return selected;
+    }
   }
   if (view.shed > 0) {
     return {nullptr, call_reason::shed_level};
   }
-  // Everything is out: a doubtful endpoint is better than none.
+  // Everything else is out, or behind a link without room: a doubtful endpoint is better than none.
   if (last_resort != nullptr && link_allows(service, *last_resort, call, now)) {
     return {last_resort, call_reason::none};
   }
--- a/unit_tests/policy/sender_test.cpp
+++ b/unit_tests/policy/sender_test.cpp
@@ -364,6 +364,22 @@
   BOOST_TEST(link.withdraw(200, call_class::order, begin));
 }
 
+BOOST_AUTO_TEST_CASE(a_stalled_near_endpoint_is_used_when_the_link_has_no_room) {
+  sender_settings settings;
+  settings.link = {0, 0, 0};
+  random_source random(7);
+  sender tested(settings, random);
+  std::vector<endpoint_ptr> endpoints = make_endpoints(2);
+  endpoints.at(0)->ejected_until = begin + std::chrono::seconds(1);
+  endpoints.at(1)->distance = proximity::other_region;
+  tested.set_endpoints("s", endpoints);
+  const outbound_call_ptr call = make_call(begin + std::chrono::seconds(1), true);
+  sender_actions actions;
+  tested.start(call, begin, actions);
+  BOOST_REQUIRE(actions.front().what == sender_action::kind::send);
+  BOOST_TEST(call->attempts.front().to.get() == endpoints.at(0).get());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace nutmegarch::policy
