Carry back the level of the endpoints that calls reach, not that of the most generous one

Chains were begun and lost while the last service was short, and a region with fewer servers of it was served half as well. The level of a service was the highest of its endpoints, and an endpoint that had not answered for a second counted as one that takes all. Now each answer of a route counts, whichever endpoint gave it: the mean of the last ones is the level of the endpoints that calls go to.

--- a/nutmegarch/policy/service_state.cpp
+++ b/nutmegarch/policy/service_state.cpp
@@ -1,6 +1,7 @@
 #include "nutmegarch/policy/service_state.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace nutmegarch::policy {
 
@@ -17,9 +18,13 @@
 /// first.
 constexpr double size_weight = 0.1;
 constexpr double assumed_answer_size = 1'000;
+/// Weight of one answer in the mean levels of its route.
+constexpr double level_weight = 0.2;
 /// Latencies below it are taken as equal.
 constexpr duration least_latency = std::chrono::milliseconds(1);
 
+admission_level to_level(double cutoff) { return {static_cast<std::uint16_t>(std::lround(cutoff))}; }
+
 }  // namespace
 
 service_state::service_state(const sender_settings& settings)
@@ -60,7 +65,13 @@
   }
   route_state* const known = find_or_add_route(route);
   if (known != nullptr) {
-    known->level_below = answer.route_level;
+    if (now >= known->level_expires) {
+      known->cutoff = level_admits_all.cutoff;
+      known->cutoff_below = level_admits_all.cutoff;
+    }
+    const std::uint16_t cutoff = std::min(answer.report->level.cutoff, answer.route_level.cutoff);
+    known->cutoff += level_weight * (cutoff - known->cutoff);
+    known->cutoff_below += level_weight * (answer.route_level.cutoff - known->cutoff_below);
     known->level_expires = now + settings_.level_lifetime;
     known->calls_on = answer.calls_on;
   }
@@ -116,28 +127,14 @@
 }
 
 admission_level service_state::level_of(const std::string& route, time_point now) const {
-  if (endpoints_.empty()) {
-    return level_admits_all;
-  }
-  // Of the endpoints, the most generous counts, since a call goes to one that takes it.
-  admission_level best{0};
-  for (const endpoint_ptr& known : endpoints_) {
-    const admission_level level = now < known->level_expires ? known->level : level_admits_all;
-    best.cutoff = std::max(best.cutoff, level.cutoff);
-  }
-
-  // What lies below them counts for all.
-  const route_state* const known_route = find_route(route);
-  if (known_route != nullptr && now < known_route->level_expires) {
-    best.cutoff = std::min(best.cutoff, known_route->level_below.cutoff);
-  }
-  return best;
+  const route_state* const known = find_route(route);
+  return known != nullptr && now < known->level_expires ? to_level(known->cutoff) : level_admits_all;
 }
 
 bool service_state::is_shed_below(const call_context& context, time_point now) const {
   const route_state* const route = find_route(context.route);
   return route != nullptr && now < route->level_expires &&
-         !admits(route->level_below, context.cls, context.shed_rank);
+         !admits(to_level(route->cutoff_below), context.cls, context.shed_rank);
 }
 
 bool service_state::calls_on(const std::string& route) const {
--- a/nutmegarch/policy/service_state.h
+++ b/nutmegarch/policy/service_state.h
@@ -63,8 +63,8 @@
 
   /// @name Levels and latencies
   /// @{
-  /// The level at which calls of a route are taken: that of the most generous endpoint and of what lies
-  /// below.
+  /// The level at which calls of a route are taken: the mean of the endpoints that answered them, and of what
+  /// lies below, by the last answers. Endpoints that calls do not reach do not count, however idle they are.
   admission_level level_of(const std::string& route, time_point now) const;
   /// The services below the endpoints refuse this call.
   bool is_shed_below(const call_context& context, time_point now) const;
@@ -86,8 +86,9 @@
     latency_tracker latency;
     /// Mean size of the answers in bytes, by the last ones; 0 before the first.
     double answer_size = 0;
-    /// Lowest level of the services below.
-    admission_level level_below;
+    /// Mean cutoff of the endpoints that answered, and of the services below them.
+    double cutoff = level_admits_all.cutoff;
+    double cutoff_below = level_admits_all.cutoff;
     time_point level_expires{};
     bool calls_on = true;
   };
--- a/unit_tests/policy/sender_test.cpp
+++ b/unit_tests/policy/sender_test.cpp
@@ -380,6 +380,26 @@
   BOOST_TEST(call->attempts.front().to.get() == endpoints.at(0).get());
 }
 
+BOOST_AUTO_TEST_CASE(an_idle_endpoint_that_calls_do_not_reach_does_not_hide_that_the_others_shed) {
+  sender_settings settings;
+  settings.link = {0, 0, 0};
+  random_source random(7);
+  sender tested(settings, random);
+  std::vector<endpoint_ptr> endpoints = make_endpoints(2);
+  endpoints.at(1)->distance = proximity::other_region;
+  tested.set_endpoints("s", endpoints);
+  for (int i = 0; i < 50; ++i) {
+    const outbound_call_ptr call = make_call(begin + std::chrono::seconds(1), true);
+    call->context.inner = true;
+    sender_actions actions;
+    tested.start(call, begin, actions);
+    attempt_answer answer = make_answer(call_outcome::ok);
+    answer.report->level = {70};
+    tested.on_answer(call, 0, answer, begin, actions);
+  }
+  BOOST_TEST(tested.level_of("s", "GET /a", begin).cutoff == 70);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace nutmegarch::policy
