Do not shed a class for calls that wait behind it

Under a standing queue of browsing's inner calls the level went on down into the more urgent classes, though these go first in the queue and did not wait: their callers were refused without need. A step down now ends at the most urgent class that itself stands in the queue. The calls of receiver_decisions/a_level_sheds_browsing_before_important_before_orders name the waiting calls by class, with the same bounds.

--- a/nutmegarch/policy/level_controller.cpp
+++ b/nutmegarch/policy/level_controller.cpp
@@ -9,10 +9,12 @@
   offered_.at(level_position(cls, shed_rank)) += 1;
 }
 
-void level_controller::on_waiting(int waiting, int standing) {
-  waiting_ = waiting;
-  always_standing_ = always_standing_ && waiting >= standing;
-  was_empty_ = was_empty_ || waiting == 0;
+void level_controller::on_waiting(const waiting_counts& waiting, int standing) {
+  waiting_ = waiting.back();
+  for (std::size_t i = 0; i < waiting.size(); ++i) {
+    always_standing_.at(i) = always_standing_.at(i) && waiting.at(i) >= standing;
+  }
+  was_empty_ = was_empty_ || waiting_ == 0;
 }
 
 bool level_controller::on_time(time_point now) {
@@ -21,8 +23,10 @@
   }
   const admission_level before = level_;
   const bool is_draining = waiting_ < waiting_at_start_;
-  if (always_standing_ && !is_draining) {
-    step_down();
+  auto first_standing = std::find(always_standing_.begin(), always_standing_.end(), true);
+  if (first_standing != always_standing_.end() && !is_draining) {
+    // Classes before the first that stands go ahead of it in the queue, so shedding them would not help.
+    step_down(static_cast<int>(first_standing - always_standing_.begin()) * shed_rank_count);
   } else if (was_empty_) {
     step_up();
   }
@@ -32,17 +36,17 @@
     count *= settings_.memory;
   }
   waiting_at_start_ = waiting_;
-  always_standing_ = true;
+  always_standing_.fill(true);
   was_empty_ = false;
   interval_end_ = now + settings_.interval;
   return !(level_ == before);
 }
 
-void level_controller::step_down() {
+void level_controller::step_down(int least_cutoff) {
   const double admitted = std::accumulate(offered_.begin(), offered_.begin() + level_.cutoff, 0.0);
   double to_shed = admitted * settings_.decrease;
   int cutoff = level_.cutoff;
-  const int lowest = std::max(1, cutoff - settings_.largest_step_down);
+  const int lowest = std::min(cutoff, std::max({1, least_cutoff, cutoff - settings_.largest_step_down}));
   while (cutoff > lowest && to_shed > 0) {
     --cutoff;
     to_shed -= offered_.at(static_cast<std::size_t>(cutoff));
--- a/nutmegarch/policy/level_controller.h
+++ b/nutmegarch/policy/level_controller.h
@@ -22,7 +22,8 @@
 };
 
 /// Finds the admission level of one target by what was offered in the last intervals.
-/// Steps the level down while a standing queue does not drain, and up while nothing waits.
+/// Steps the level down while a standing queue does not drain, and up while nothing waits. Calls of a class
+/// that does not wait itself are not shed for what waits behind them.
 class level_controller {
  public:
   explicit level_controller(const level_settings& settings) : settings_(settings) {}
@@ -30,9 +31,12 @@
   /// A call was offered, whether it was admitted or not.
   void on_offer(call_class cls, std::uint8_t shed_rank);
 
+  /// Calls that wait: those of each class and of all more important ones.
+  using waiting_counts = std::array<int, call_class_count>;
+
   /// Tells how many calls wait, and from which number on that is a standing queue.
   /// Call it after each change; the least value of an interval counts.
-  void on_waiting(int waiting, int standing);
+  void on_waiting(const waiting_counts& waiting, int standing);
 
   /// Steps the level when an interval is over. True when the level changed.
   bool on_time(time_point now);
@@ -40,7 +44,7 @@
   admission_level level() const { return level_; }
 
  private:
-  void step_down();
+  void step_down(int least_cutoff);
   void step_up();
 
   static constexpr int position_count = call_class_count * shed_rank_count;
@@ -51,7 +55,8 @@
   std::array<double, position_count> offered_{};
   int waiting_ = 0;
   int waiting_at_start_ = 0;
-  bool always_standing_ = false;
+  /// For each class: it and the more important ones stood in the queue during the whole interval.
+  std::array<bool, call_class_count> always_standing_{};
   bool was_empty_ = true;
   time_point interval_end_{};
 };
--- a/nutmegarch/policy/receiver.cpp
+++ b/nutmegarch/policy/receiver.cpp
@@ -232,6 +232,14 @@
   return std::max(least_standing, static_cast<int>(settings_.standing_share * settings_.slots));
 }
 
-void receiver::note_waiting() { levels_.on_waiting(waiting(), standing_size()); }
+void receiver::note_waiting() {
+  level_controller::waiting_counts waiting{};
+  for (int cls = 0; cls < call_class_count; ++cls) {
+    const int last_place = 2 * cls + 1;
+    waiting.at(static_cast<std::size_t>(cls)) =
+        short_queue_->size_up_to(last_place) + long_queue_->size_up_to(last_place);
+  }
+  levels_.on_waiting(waiting, standing_size());
+}
 
 }  // namespace nutmegarch::policy
--- a/unit_tests/policy/receiver_test.cpp
+++ b/unit_tests/policy/receiver_test.cpp
@@ -158,7 +158,7 @@
         levels.on_offer(static_cast<call_class>(cls), static_cast<std::uint8_t>(rank));
       }
     }
-    levels.on_waiting(50, 10);
+    levels.on_waiting({50, 50, 50}, 10);
     now += std::chrono::milliseconds(50);
     levels.on_time(now);
     BOOST_TEST(levels.level().cutoff <= last.cutoff);
@@ -169,7 +169,7 @@
 
   // Nothing waits any more: all are admitted again.
   for (int i = 0; i < 60; ++i) {
-    levels.on_waiting(0, 10);
+    levels.on_waiting({0, 0, 0}, 10);
     now += std::chrono::milliseconds(50);
     levels.on_time(now);
   }
@@ -327,6 +327,21 @@
   BOOST_TEST(std::set<int>(places.begin(), places.end()).size() == places.size());
 }
 
+BOOST_AUTO_TEST_CASE(classes_that_do_not_wait_are_not_shed_for_what_waits_behind_them) {
+  level_controller levels{level_settings{}};
+  time_point now(std::chrono::seconds(100));
+  for (int i = 0; i < 200; ++i) {
+    for (int rank = 0; rank < shed_rank_count; ++rank) {
+      levels.on_offer(call_class::order, static_cast<std::uint8_t>(rank));
+      levels.on_offer(call_class::important, static_cast<std::uint8_t>(rank));
+    }
+    levels.on_waiting({0, 2, 50}, 10);
+    now += std::chrono::milliseconds(50);
+    levels.on_time(now);
+  }
+  BOOST_TEST(levels.level().cutoff == level_position(call_class::browse, 0));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace nutmegarch::policy
