--- a/nutmegarch/http/client_pool.cpp
+++ b/nutmegarch/http/client_pool.cpp
@@ -102,7 +102,6 @@
         done_(std::move(done)),
         buffer_(settings.answer.most_head_bytes),
         meter_(settings.answer),
-        held_(settings.unfinished),
         idle_timeout_(settings.idle_timeout) {}
 
   /// Connects first, unless the stream is connected.
@@ -237,7 +236,7 @@
   }
 
   void count_held_bytes() {
-    const std::size_t counted = held_.counted(parser_->get().body().size());
+    const std::size_t counted = settings_.unfinished.counted(parser_->get().body().size());
     if (counted > counted_) {
       counted_ = counted;
       listener_->on_held(number_, counted);
@@ -331,7 +330,6 @@
   beast::flat_buffer buffer_;
   std::optional<beast::http::response_parser<beast::http::string_body>> parser_;
   policy::answer_meter meter_;
-  policy::held_bytes held_;
   /// Bytes that the answer counted for when the listener was last told.
   std::size_t counted_ = 0;
   duration idle_timeout_;
--- a/nutmegarch/policy/held_bytes.h
+++ b/nutmegarch/policy/held_bytes.h
@@ -15,6 +15,12 @@
   std::size_t most_bytes = 24U << 20U;
   /// Bytes that each message may hold uncounted; larger holdings count in steps of this size.
   std::size_t step_bytes = 16U << 10U;
+
+  /// Bytes that a message of this size counts for. A holder calls held_bytes::hold() only when this has
+  /// grown.
+  std::size_t counted(std::size_t size) const {
+    return size <= step_bytes ? 0 : (size + step_bytes - 1) / step_bytes * step_bytes;
+  }
 };
 
 /// Bounds the bytes that unfinished messages hold together. When they hold too many, the one that holds most
@@ -23,13 +29,6 @@
  public:
   explicit held_bytes(const held_bytes_settings& settings) : settings_(settings) {}
 
-  /// Bytes that a message of this size counts for. A holder calls hold() only when this has grown.
-  std::size_t counted(std::size_t size) const {
-    return size <= settings_.step_bytes
-               ? 0
-               : (size + settings_.step_bytes - 1) / settings_.step_bytes * settings_.step_bytes;
-  }
-
   /// The holder's message counts for `bytes` now. Returns the holder that is to be given up; it counts no
   /// longer.
   std::optional<std::uint64_t> hold(std::uint64_t holder, std::size_t bytes) {
--- a/unit_tests/policy/answer_bounds_test.cpp
+++ b/unit_tests/policy/answer_bounds_test.cpp
@@ -48,9 +48,10 @@
 }
 
 BOOST_AUTO_TEST_CASE(the_largest_message_is_given_up_and_small_ones_pass) {
-  held_bytes tested({1'000, 100});
-  BOOST_TEST(tested.counted(100) == 0U);
-  BOOST_TEST(tested.counted(101) == 200U);
+  const held_bytes_settings settings{1'000, 100};
+  BOOST_TEST(settings.counted(100) == 0U);
+  BOOST_TEST(settings.counted(101) == 200U);
+  held_bytes tested(settings);
   BOOST_TEST(!tested.hold(1, 600).has_value());
   BOOST_TEST(!tested.hold(2, 400).has_value());
   BOOST_TEST((tested.hold(3, 200) == std::optional<std::uint64_t>(1)));
@@ -71,7 +72,8 @@
   BOOST_TEST(rc::check([]() {
     constexpr std::size_t step = 10;
     constexpr std::size_t bound = 400;
-    held_bytes tested({bound, step});
+    const held_bytes_settings settings{bound, step};
+    held_bytes tested(settings);
     std::map<std::uint64_t, std::size_t> sizes;
     const int steps = *rc::gen::inRange(0, 200);
     for (int i = 0; i < steps; ++i) {
@@ -81,7 +83,7 @@
         sizes.erase(holder);
       } else {
         // A holder only grows while it reads.
-        const std::size_t size = tested.counted(sizes[holder] + *rc::gen::inRange<std::size_t>(1, 100));
+        const std::size_t size = settings.counted(sizes[holder] + *rc::gen::inRange<std::size_t>(1, 100));
         sizes[holder] = size;
         const std::optional<std::uint64_t> given_up = tested.hold(holder, size);
         if (given_up) {
