Give up a peer's connection whose answers are not taken

Answers to a peer that does not read any more, since its process stands still or its machine is cut off, were kept without a limit in time: only the side that calls watches its connection. Connections between peers now have the socket options of the other connections: data that is not acknowledged for 5 s breaks them, and an absent peer is found by probes. The test holds the caller's thread while answers of 4 MiB are due, and failed before: the connection was still there after 30 s.

--- a/nutmegarch/protocol/asio_stream.cpp
+++ b/nutmegarch/protocol/asio_stream.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/buffer.hpp>
 #include <kj/debug.h>
 
+#include "nutmegarch/http/socket_options.h"
+
 namespace nutmegarch::protocol {
 
 namespace {
@@ -23,8 +25,7 @@
   disconnected_ = pair.promise.fork();
   boost::system::error_code ignored;
   socket_.non_blocking(true, ignored);
-  // Small messages must not wait for the acknowledgement of those before them.
-  socket_.set_option(tcp::no_delay(true), ignored);
+  http::set_connection_options(socket_);
 }
 
 kj::Promise<std::size_t> asio_stream::tryRead(void* buffer, std::size_t least, std::size_t most) {
--- a/unit_tests/protocol/peer_network_test.cpp
+++ b/unit_tests/protocol/peer_network_test.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+/// Bytes of a large answer: some of them fill all buffers between two processes.
+constexpr std::size_t large_answer = 4U << 20U;
+
 /// Answers calls at once, or never when the route says so.
 class test_service final : public peer_service {
  public:
@@ -29,7 +32,8 @@
     peer_answer answer;
     answer.outcome = call_outcome::ok;
     answer.message.status = 200;
-    answer.message.body = call.request->body + call.context.service;
+    answer.message.body = call.context.route == "large" ? std::string(large_answer, 'a')
+                                                        : call.request->body + call.context.service;
     answer.ticket = call.context.ticket;
     answer.report.incarnation = call.context.ticket ? call.context.ticket->incarnation : 0;
     network_.answer(exchange, answer);
@@ -147,6 +151,21 @@
   BOOST_TEST(succeeded(call(address, "GET /a")));
 }
 
+BOOST_FIXTURE_TEST_CASE(answers_are_not_kept_for_a_caller_that_reads_nothing, two_networks) {
+  client.call(address, make_call("never"), [](const result<peer_answer, peer_error>&) {});
+  server_service.arrived.get_future().get();
+  // Its thread stands still, so that nothing is read.
+  std::promise<void> go_on;
+  std::future<void> told = go_on.get_future();
+  client.call(address, make_call("GET /a"), [&told](const result<peer_answer, peer_error>&) { told.wait(); });
+  for (int i = 0; i < 8; ++i) {
+    client.call(address, make_call("large"), [](const result<peer_answer, peer_error>&) {});
+  }
+  const std::future_status found = server_service.cancelled.get_future().wait_for(std::chrono::seconds(30));
+  go_on.set_value();
+  BOOST_TEST((found == std::future_status::ready));
+}
+
 BOOST_FIXTURE_TEST_CASE(an_exchange_carries_digests_documents_and_marks, two_networks) {
   peer_exchange offer;
   offer.self = {"host", 5, true};
