Bound the bytes that one connection's pipelined requests hold

Up to 64 requests of a connection were read before the first was answered, whatever their size: with the largest bodies of the deployment (64 MiB) one caller could make a node hold 4 GiB, and a node that holds 260 MB is ended with all its open requests. From 1 MiB of bodies, of requests and of answers that wait to be written, the next request is read only after an answer was written. The test failed before: all requests were read ahead. Not bounded by this: the sum over all connections.

--- a/nutmegarch/http/server.cpp
+++ b/nutmegarch/http/server.cpp
@@ -108,13 +108,20 @@
     std::uint64_t exchange = 0;
     bool keep_alive = true;
     std::optional<answer_message> answer;
+    /// Of the bodies of the request and its answer.
+    std::size_t bytes = 0;
   };
 
+  bool has_read_enough() const {
+    return slots_.size() >= state_->settings.most_pipelined ||
+           (!slots_.empty() && held_bytes_ >= state_->settings.most_pipelined_bytes);
+  }
+
   void read() {
     if (is_reading_ || is_closed_ || is_lingering_) {
       return;
     }
-    if (!reads_on_ || slots_.size() >= state_->settings.most_pipelined) {
+    if (!reads_on_ || has_read_enough()) {
       watch_for_disconnect();
       return;
     }
@@ -151,7 +158,8 @@
     }
     beast_request request = parser_->release();
     const std::uint64_t exchange = next_exchange();
-    slots_.push_back({exchange, request.keep_alive(), std::nullopt});
+    slots_.push_back({exchange, request.keep_alive(), std::nullopt, request.body().size()});
+    held_bytes_ += request.body().size();
     reads_on_ = request.keep_alive() && !state_->stopping;
     state_->handler->on_request(exchange, from_beast(std::move(request)),
                                 [self = shared_from_this(), exchange](answer_message answer) {
@@ -205,7 +213,7 @@
       problem = make_problem(call_outcome::not_run, call_reason::too_large, "");
     }
     reads_on_ = false;
-    slots_.push_back({next_exchange(), false, std::move(problem)});
+    slots_.push_back({next_exchange(), false, std::move(problem), 0});
     write();
   }
 
@@ -255,6 +263,8 @@
   void answer(std::uint64_t exchange, answer_message content) {
     for (slot& due : slots_) {
       if (due.exchange == exchange && !due.answer) {
+        due.bytes += content.body.size();
+        held_bytes_ += content.body.size();
         due.answer = std::move(content);
         break;
       }
@@ -286,6 +296,7 @@
     if (is_closed_) {
       return;
     }
+    held_bytes_ -= slots_.front().bytes;
     slots_.pop_front();
     if (error) {
       leave();
@@ -318,6 +329,8 @@
   std::optional<beast::http::request_parser<beast::http::string_body>> parser_;
   beast_response response_;
   std::deque<slot> slots_;
+  /// Bytes of all slots.
+  std::size_t held_bytes_ = 0;
   std::chrono::steady_clock::time_point last_active_;
   bool is_reading_ = false;
   bool is_writing_ = false;
--- a/nutmegarch/http/server.h
+++ b/nutmegarch/http/server.h
@@ -43,6 +43,9 @@
   duration stopping_idle_timeout = std::chrono::seconds(60);
   /// Requests of one connection that are read before the first of them is answered.
   std::size_t most_pipelined = 64;
+  /// Bytes of bodies, of those requests and of the answers that wait to be written, from which on no further
+  /// request of the connection is read.
+  std::size_t most_pipelined_bytes = 1U << 20U;
   /// Most connections at once; further ones are closed at once.
   int most_connections = 1024;
 };
--- a/unit_tests/http/http_test.cpp
+++ b/unit_tests/http/http_test.cpp
@@ -156,6 +156,10 @@
   bool wait_for_requests(std::size_t count) {
     return wait([&]() { return held_.size() >= count; });
   }
+  bool has_requests_within(std::size_t count, std::chrono::milliseconds time) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    return changed_.wait_for(lock, time, [&]() { return held_.size() >= count; });
+  }
   bool wait_for_gone(int count) {
     return wait([&]() { return gone_ >= count; });
   }
@@ -287,6 +291,30 @@
   BOOST_TEST(got.find("to /1") < got.find("to /2"));
 }
 
+BOOST_AUTO_TEST_CASE(requests_with_large_bodies_are_not_read_ahead_of_their_answers_without_a_bound) {
+  held_server fixture;
+  const std::size_t half = server_settings().most_body_bytes / 2;
+  const std::string text = "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(half) +
+                           "\r\n\r\n" + std::string(half, 'a');
+  constexpr std::size_t count = 16;
+  std::thread sender([&]() {
+    boost::system::error_code ignored;
+    for (std::size_t i = 0; i < count; ++i) {
+      boost::asio::write(fixture.socket, boost::asio::buffer(text), ignored);
+    }
+  });
+  const std::size_t ahead = server_settings().most_pipelined_bytes / half;
+  BOOST_TEST(fixture.handler.wait_for_requests(ahead));
+  // What is read ahead comes without an answer; none further comes until one was written.
+  BOOST_TEST(!fixture.handler.has_requests_within(ahead + 1, std::chrono::milliseconds(300)));
+  for (std::size_t i = 0; i < count; ++i) {
+    BOOST_REQUIRE(fixture.handler.wait_for_requests(i + 1));
+    fixture.handler.answer(i);
+  }
+  sender.join();
+  BOOST_TEST(!fixture.read_until("to /1").empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_caller_that_leaves_cancels_all_that_it_has_asked) {
   held_server fixture;
   fixture.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
