--- a/nutmegarch/command/node_command.cpp
+++ b/nutmegarch/command/node_command.cpp
@@ -1,4 +1,7 @@
 #include <csignal>
+#include <cstdlib>
+#include <cstring>
+#include <exception>
 #include <iostream>
 #include <random>
 
@@ -21,6 +24,31 @@
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
+/// Logs why the process ends, where an exception left all handlers.
+[[noreturn]] void on_terminate() {
+  std::string reason = "unknown";
+  if (const std::exception_ptr thrown = std::current_exception()) {
+    try {
+      std::rethrow_exception(thrown);
+    } catch (const std::exception& error) {
+      reason = error.what();
+    } catch (...) {
+      reason = "not a standard exception";
+    }
+  }
+  observe::log_event(observe::log_level::error, "node-failed", {{"reason", reason}});
+  observe::flush_log(last_flush);
+  std::abort();
+}
+
+/// Waits for the next signal and logs it.
+int wait_for_signal(const std::string& host) {
+  const int received = held_signals::wait();
+  observe::log_event(observe::log_level::info, "signal-received",
+                     {{"host", host}, {"signal", sigabbrev_np(received)}});
+  return received;
+}
+
 /// The adapter of the platform whose dialect the settings name; nothing for the product's own.
 std::optional<node::platform_adapter> make_adapter(const node::node_settings& settings) {
   if (settings.platform.dialect.empty()) {
@@ -48,7 +76,7 @@
   }
   observe::log_event(observe::log_level::info, "node-started",
                      {{"host", settings.identity.host}, {"callers", settings.listen.callers}});
-  while (held_signals::wait() == SIGHUP) {
+  while (wait_for_signal(settings.identity.host) == SIGHUP) {
     reload(path, settings);
   }
   observe::log_event(observe::log_level::info, "node-stopping", {{"host", settings.identity.host}});
@@ -81,6 +109,7 @@
     return done;
   }
   observe::configure_log(settings->log);
+  std::set_terminate(on_terminate);
   return serve(file.getValue(), *settings);
 }
 
--- a/unit_tests/command/node_process_test.cpp
+++ b/unit_tests/command/node_process_test.cpp
@@ -374,6 +374,7 @@
   }
   load.stop();
   BOOST_TEST(load.sent > 0);
+  BOOST_TEST(count_of(process->output(), "event=signal-received") > 1U);
   BOOST_TEST(load.answered == load.sent);
   BOOST_TEST(idle.ask(1) == 1);
   BOOST_TEST(process->is_running());
