--- a/soak/soak.py
+++ b/soak/soak.py
@@ -2,9 +2,11 @@
 
 import argparse
 import asyncio
+import faulthandler
 import os
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -164,11 +166,14 @@
             for task in waiting:
                 task.cancel()
             _, waiting = await asyncio.wait(waiting, timeout=0.5)
+        faulthandler.cancel_dump_traceback_later()
         await self.fleet.stop()
 
 
 async def main():
     run = Run(options())
+    # Processes are ended also when the soak is told to stop.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     code = 0
     try:
         await run.run()
@@ -176,6 +181,9 @@
     except BrokenPromise as broken:
         run.say("BROKEN %s" % broken)
         code = 1
+    except asyncio.CancelledError:
+        run.say("stopped before its end")
+        code = 2
     finally:
         await run.end()
         run.timeline.close()
