Step the level up to the first class that stands, and let each class drain by its own count

What callers would see: orders refused long after their queue has gone, while browsing's inner calls still wait: with the level below the boundary of the class that stands, a step down did nothing, and a step up needed an empty queue. And a shrinking queue of browsing kept a standing queue of orders from being shed, since only the sum was compared. Both tests failed before: the level stayed at 1 of 192, and at 192.

--- a/nutmegarch/policy/level_controller.h
+++ b/nutmegarch/policy/level_controller.h
@@ -45,7 +45,7 @@
 
  private:
   void step_down(int least_cutoff);
-  void step_up();
+  void step_up(int most_cutoff);
 
   static constexpr int position_count = call_class_count * shed_rank_count;
 
@@ -53,8 +53,8 @@
   admission_level level_;
   /// Calls offered at each position; old ones fade.
   std::array<double, position_count> offered_{};
-  int waiting_ = 0;
-  int waiting_at_start_ = 0;
+  waiting_counts waiting_{};
+  waiting_counts waiting_at_start_{};
   /// For each class: it and the more important ones stood in the queue during the whole interval.
   std::array<bool, call_class_count> always_standing_{};
   bool was_empty_ = true;
--- a/unit_tests/policy/receiver_test.cpp
+++ b/unit_tests/policy/receiver_test.cpp
@@ -342,6 +342,42 @@
   BOOST_TEST(levels.level().cutoff == level_position(call_class::browse, 0));
 }
 
+BOOST_AUTO_TEST_CASE(orders_are_admitted_again_while_only_browsing_still_waits) {
+  level_controller levels{level_settings{}};
+  time_point now(std::chrono::seconds(100));
+  const std::function<void(const level_controller::waiting_counts&)> pass =
+      [&](const level_controller::waiting_counts& waiting) {
+        for (int rank = 0; rank < shed_rank_count; ++rank) {
+          levels.on_offer(call_class::order, static_cast<std::uint8_t>(rank));
+        }
+        levels.on_waiting(waiting, 10);
+        now += std::chrono::milliseconds(50);
+        levels.on_time(now);
+      };
+  for (int i = 0; i < 200; ++i) {
+    pass({50, 50, 50});
+  }
+  BOOST_REQUIRE(levels.level().cutoff < level_position(call_class::important, 0));
+  for (int i = 0; i < 200; ++i) {
+    pass({0, 0, 50});
+  }
+  BOOST_TEST(levels.level().cutoff == level_position(call_class::browse, 0));
+}
+
+BOOST_AUTO_TEST_CASE(a_shrinking_queue_of_browsing_does_not_hide_a_standing_queue_of_orders) {
+  level_controller levels{level_settings{}};
+  time_point now(std::chrono::seconds(100));
+  for (int i = 0; i < 400; ++i) {
+    for (int rank = 0; rank < shed_rank_count; ++rank) {
+      levels.on_offer(call_class::order, static_cast<std::uint8_t>(rank));
+    }
+    levels.on_waiting({20, 20, 1000 - i}, 10);
+    now += std::chrono::milliseconds(50);
+    levels.on_time(now);
+  }
+  BOOST_TEST(levels.level().cutoff < level_position(call_class::important, 0));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace nutmegarch::policy
