A stopping node waits for callers that still take their last answers

What callers would see: after SIGTERM, a long answer to a slow reader is cut off some 3 s into the stop although the grace allows more: the node counted calls, and a call is over once its answer is handed to the connection. Now it ends when no answer is being written and no caller is still taking the last one of its connection, as before after the longest leave at the latest.

--- a/nutmegarch/http/server.cpp
+++ b/nutmegarch/http/server.cpp
@@ -63,6 +63,8 @@
   std::atomic<duration::rep> idle_timeout;
   request_handler* handler = nullptr;
   std::atomic<int> connections{0};
+  /// Connections on which an answer is being written or the last one is still being taken.
+  std::atomic<int> writing{0};
   std::atomic<bool> stopping{false};
 };
 
@@ -76,7 +78,10 @@
   }
   session(const session&) = delete;
   session& operator=(const session&) = delete;
-  ~session() { --state_->connections; }
+  ~session() {
+    note_writing(false);
+    --state_->connections;
+  }
 
   void start() {
     set_connection_options(stream_.socket());
@@ -277,6 +282,7 @@
       return;
     }
     is_writing_ = true;
+    note_writing(true);
     // Only the last answer that is due may announce the end of the connection.
     if (state_->stopping) {
       reads_on_ = false;
@@ -292,6 +298,7 @@
 
   void on_written(beast::error_code error) {
     is_writing_ = false;
+    note_writing(closes_ && !error);
     last_active_ = std::chrono::steady_clock::now();
     if (is_closed_) {
       return;
@@ -318,11 +325,20 @@
       return;
     }
     is_closed_ = true;
+    note_writing(false);
     beast::error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
     stream_.close();
   }
 
+  /// Counts this connection among those that write, once.
+  void note_writing(bool writes) {
+    if (writes != is_counted_) {
+      is_counted_ = writes;
+      state_->writing += writes ? 1 : -1;
+    }
+  }
+
   beast::tcp_stream stream_;
   std::shared_ptr<shared_state> state_;
   beast::flat_buffer buffer_;
@@ -336,6 +352,8 @@
   bool is_writing_ = false;
   bool is_watching_ = false;
   bool is_closed_ = false;
+  /// Counted in shared_state::writing.
+  bool is_counted_ = false;
   /// The last answer has been written, and the caller has not closed yet.
   bool is_lingering_ = false;
   /// Further requests are read from the connection.
@@ -390,6 +408,7 @@
     asio::post(acceptor_.get_executor(), [self = shared_from_this()]() { self->close(); });
   }
 
+  bool has_written_all() const { return state_->writing == 0; }
   int port() const { return acceptor_.local_endpoint().port(); }
 
  private:
@@ -491,6 +510,8 @@
 
 void server::stop() { listener_->stop(); }
 
+bool server::has_written_all() const { return listener_->has_written_all(); }
+
 int server::port() const { return listener_->port(); }
 
 }  // namespace nutmegarch::http
--- a/nutmegarch/http/server.h
+++ b/nutmegarch/http/server.h
@@ -66,6 +66,8 @@
   void refuse_keep_alive();
   /// Takes the connections that wait, and then accepts no more.
   void stop();
+  /// No answer is being written, and no caller is still taking the last one of its connection.
+  bool has_written_all() const;
   /// The port that it listens on.
   int port() const;
 
--- a/nutmegarch/node/node.cpp
+++ b/nutmegarch/node/node.cpp
@@ -212,7 +212,9 @@
     }
     return;
   }
-  if (is_late || (has_been_idle(now, last_requests) && now - accept_ended_ >= last_requests)) {
+  const bool is_done = has_been_idle(now, last_requests) && now - accept_ended_ >= last_requests &&
+                       callers_server_.has_written_all();
+  if (is_late || is_done) {
     finished_ = true;
     peers_.request_stop();
     pool_io_.stop();
--- a/unit_tests/http/http_test.cpp
+++ b/unit_tests/http/http_test.cpp
@@ -374,6 +374,25 @@
   BOOST_TEST(begin.size() + fixture.read_to_end() > answer_size);
 }
 
+BOOST_AUTO_TEST_CASE(a_stopping_server_tells_that_callers_still_take_their_last_answers) {
+  held_server fixture;
+  fixture.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_REQUIRE(fixture.handler.wait_for_requests(1));
+  BOOST_TEST(fixture.tested.has_written_all());
+  fixture.tested.refuse_keep_alive();
+  // More than the socket takes at once.
+  fixture.handler.answer(0, 16U << 20U);
+  BOOST_REQUIRE(fixture.read_until("Connection: close").find("Connection: close") != std::string::npos);
+  BOOST_TEST(!fixture.tested.has_written_all());
+  fixture.read_to_end();
+  fixture.socket.close();
+  const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + patience;
+  while (!fixture.tested.has_written_all() && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  BOOST_TEST(fixture.tested.has_written_all());
+}
+
 BOOST_AUTO_TEST_CASE(a_connection_ahead_tells_whether_the_target_is_there_and_serves_the_next_request) {
   // The peer takes one connection, so the request can only use the one that was opened ahead.
   raw_peer peer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", raw_peer::ending::open);
