Greet a peer again that a greeting did not reach

A node that has started again is taken for leaving until its peers hear from it; one whose greeting was lost heard by chance only, up to 44 s later in a fleet of 89 by computation. It is greeted again after the greeting interval, a few at a time.

--- a/nutmegarch/membership/gossip_schedule.cpp
+++ b/nutmegarch/membership/gossip_schedule.cpp
@@ -9,18 +9,33 @@
   std::set<std::string> listed(peers.begin(), peers.end());
   const auto is_gone = [&](const std::string& address) { return listed.count(address) == 0; };
   unmet_.erase(std::remove_if(unmet_.begin(), unmet_.end(), is_gone), unmet_.end());
+  missed_.erase(std::remove_if(missed_.begin(), missed_.end(), is_gone), missed_.end());
   std::set_difference(listed.begin(), listed.end(), known_.begin(), known_.end(), std::back_inserter(unmet_));
   known_ = std::move(listed);
   peers_ = std::move(peers);
 }
 
-std::vector<std::string> gossip_schedule::due_for_greeting() {
+std::vector<std::string> gossip_schedule::due_for_greeting(time_point now) {
+  if (now >= next_repeat_ && !missed_.empty()) {
+    next_repeat_ = now + settings_.greeting_interval;
+    const std::size_t count = std::min(missed_.size(), settings_.most_greetings);
+    unmet_.insert(unmet_.end(), missed_.begin(), missed_.begin() + static_cast<std::ptrdiff_t>(count));
+    missed_.erase(missed_.begin(), missed_.begin() + static_cast<std::ptrdiff_t>(count));
+  }
   const std::size_t count = std::min(unmet_.size(), settings_.most_greetings);
   std::vector<std::string> greeted(unmet_.end() - static_cast<std::ptrdiff_t>(count), unmet_.end());
   unmet_.resize(unmet_.size() - count);
+  greeted_.insert(greeted.begin(), greeted.end());
   return greeted;
 }
 
+void gossip_schedule::on_exchanged(const std::string& address, bool is_reached) {
+  const bool was_greeted = greeted_.erase(address) != 0;
+  if (was_greeted && !is_reached && known_.count(address) != 0) {
+    missed_.push_back(address);
+  }
+}
+
 std::vector<std::string> gossip_schedule::due(time_point now) {
   if (now < next_exchange_ || peers_.empty()) {
     return {};
--- a/nutmegarch/membership/gossip_schedule.h
+++ b/nutmegarch/membership/gossip_schedule.h
@@ -44,9 +44,12 @@
   /// Peers to exchange with now; empty when it is not yet time.
   std::vector<std::string> due(time_point now);
 
-  /// Peers that have not been in the list before, to exchange with now. Each is named once, so that all of
-  /// them learn soon that this node is there; a few at a time.
-  std::vector<std::string> due_for_greeting();
+  /// Peers that have not been in the list before, to exchange with now: all of them learn soon that this node
+  /// is there. A few at a time; one that was not reached is named again after the greeting interval.
+  std::vector<std::string> due_for_greeting(time_point now);
+
+  /// An exchange with the peer has ended; `is_reached`: it has answered.
+  void on_exchanged(const std::string& address, bool is_reached);
 
   /// There is something to tell peers.
   void on_news() { has_news_ = true; }
@@ -70,6 +73,10 @@
   /// The peers again, and those of them that are to be greeted.
   std::set<std::string> known_;
   std::vector<std::string> unmet_;
+  /// Peers whose greeting is under way, and those that were not reached.
+  std::set<std::string> greeted_;
+  std::vector<std::string> missed_;
+  time_point next_repeat_{};
   time_point next_exchange_{};
   time_point next_news_{};
   bool has_news_ = false;
--- a/nutmegarch/node/control_path.cpp
+++ b/nutmegarch/node/control_path.cpp
@@ -63,7 +63,7 @@
     const std::lock_guard<std::mutex> lock(state_.mutex);
     const time_point now = state_.clock.now();
     due = state_.gossip.due(now);
-    const std::vector<std::string> greeted = state_.gossip.due_for_greeting();
+    const std::vector<std::string> greeted = state_.gossip.due_for_greeting(now);
     due.insert(due.end(), greeted.begin(), greeted.end());
     if (now >= next_greeting_) {
       const std::string stranger = state_.endpoints.find_unknown();
@@ -337,6 +337,10 @@
   peers_.exchange(address, std::move(offer),
                   [self = shared_from_this(), address,
                    had_documents](const result<protocol::peer_exchange, protocol::peer_error>& outcome) {
+                    {
+                      const std::lock_guard<std::mutex> lock(self->state_.mutex);
+                      self->state_.gossip.on_exchanged(address, succeeded(outcome));
+                    }
                     if (succeeded(outcome)) {
                       self->on_reply(address, std::get<protocol::peer_exchange>(outcome), had_documents);
                     }
--- a/unit_tests/membership/membership_test.cpp
+++ b/unit_tests/membership/membership_test.cpp
@@ -150,15 +150,34 @@
   schedule.set_peers({"c", "a", "b"});
   std::set<std::string> greeted;
   for (std::size_t left : {std::size_t{2}, std::size_t{1}, std::size_t{0}}) {
-    const std::vector<std::string> due = schedule.due_for_greeting();
+    const std::vector<std::string> due = schedule.due_for_greeting(begin);
     BOOST_TEST(due.size() == left);
     greeted.insert(due.begin(), due.end());
   }
   BOOST_TEST(greeted.size() == 3U);
   schedule.set_peers({"a", "b", "d", "e"});
   schedule.set_peers({"a", "b", "d"});
-  BOOST_TEST(schedule.due_for_greeting() == std::vector<std::string>{"d"}, boost::test_tools::per_element());
-  BOOST_TEST(schedule.due_for_greeting().empty());
+  BOOST_TEST(schedule.due_for_greeting(begin) == std::vector<std::string>{"d"},
+             boost::test_tools::per_element());
+  BOOST_TEST(schedule.due_for_greeting(begin).empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_peer_that_a_greeting_did_not_reach_is_greeted_again_after_the_interval) {
+  random_source random(1);
+  const gossip_settings settings;
+  gossip_schedule schedule(settings, random);
+  schedule.set_peers({"a", "b"});
+  BOOST_TEST(schedule.due_for_greeting(begin).size() == 2U);
+  schedule.on_exchanged("a", true);
+  schedule.on_exchanged("b", false);
+  const std::vector<std::string> again = schedule.due_for_greeting(begin);
+  BOOST_TEST(again == std::vector<std::string>{"b"}, boost::test_tools::per_element());
+  schedule.on_exchanged("b", false);
+  BOOST_TEST(schedule.due_for_greeting(begin + settings.greeting_interval / 2).empty());
+  BOOST_TEST(schedule.due_for_greeting(begin + settings.greeting_interval).size() == 1U);
+  schedule.on_exchanged("b", true);
+  schedule.on_exchanged("b", false);
+  BOOST_TEST(schedule.due_for_greeting(begin + 2 * settings.greeting_interval).empty());
 }
 
 // A target that loses many answers makes news many times a second.
