--- a/soak/soak.py
+++ b/soak/soak.py
@@ -33,6 +33,10 @@
         return None
 
 
+# Below this the run says little of planned work alone.
+LEAST_CALM_S = 3
+
+
 def options():
     parser = argparse.ArgumentParser(prog="tools/soak", description=__doc__)
     parser.add_argument("--seed", type=int, required=True)
@@ -40,6 +44,7 @@
     parser.add_argument("--nodes", type=int, default=6)
     parser.add_argument("--faults", help="kinds of faults, separated by commas; all by default")
     parser.add_argument("--binary", default=os.path.join(ROOT, "build", "nutmegarch"), help="program under soak")
+    parser.add_argument("--folder", help="where the run keeps its files, best in memory: a busy disk stops their writers")
     parser.add_argument("--logs", help="folder that gets the folder of a run")
     parser.add_argument("--plan", action="store_true", help="only prints the plan")
     return parser.parse_args()
@@ -48,9 +53,7 @@
 class Run:
     def __init__(self, chosen):
         self.chosen = chosen
-        # In memory where there is such a place: a file on a busy disk stops its writer for seconds.
-        memory = "/dev/shm" if os.path.isdir("/dev/shm") else None
-        self.folder = tempfile.mkdtemp(prefix="soak-%d-" % chosen.seed, dir=memory)
+        self.folder = tempfile.mkdtemp(prefix="soak-%d-" % chosen.seed, dir=chosen.folder)
         self.timeline = open(os.path.join(self.folder, "timeline"), "w")
         self.checker = Checker(self.say)
         self.fleet = Fleet(self.folder, chosen.nodes, chosen.binary, self.checker.on_server_line)
@@ -177,7 +180,10 @@
     code = 0
     try:
         await run.run()
-        run.say("no promise broken; calm for %.0f s; %s" % (run.checker.calm_seconds(), dict(run.checker.counts)))
+        calm = run.checker.calm_seconds()
+        run.say("no promise broken; calm for %.0f s; %s" % (calm, dict(run.checker.counts)))
+        if calm < LEAST_CALM_S:
+            run.say("NOT JUDGED: promises of planned work alone; calm for less than %d s" % LEAST_CALM_S)
     except BrokenPromise as broken:
         run.say("BROKEN %s" % broken)
         code = 1
