Give up answers of unknown length first when all unfinished answers hold too much

Cause: 30 bodies without end reached the bound at 0.8 MB each while the whole answer of 2 MB was still being read, and the largest was given up. Change: those without a length are given up first, unless that is not enough for the bound.

--- a/nutmegarch/http/client_pool.cpp
+++ b/nutmegarch/http/client_pool.cpp
@@ -82,8 +82,9 @@
   held_listener& operator=(const held_listener&) = delete;
   virtual ~held_listener() = default;
 
-  /// The answer counts for `bytes` now. May give up this exchange or another one.
-  virtual void on_held(std::uint64_t number, std::size_t bytes) = 0;
+  /// The answer counts for `bytes` now; `has_length`: its head tells how long it is. May give up this
+  /// exchange or another one.
+  virtual void on_held(std::uint64_t number, std::size_t bytes, bool has_length) = 0;
 };
 
 /// One request over one connection. All its members are used on its strand only.
@@ -239,7 +240,7 @@
     const std::size_t counted = settings_.unfinished.counted(parser_->get().body().size());
     if (counted > counted_) {
       counted_ = counted;
-      listener_->on_held(number_, counted);
+      listener_->on_held(number_, counted, parser_->content_length().has_value());
     }
   }
 
@@ -444,14 +445,14 @@
     return held_.total();
   }
 
-  void on_held(std::uint64_t number, std::size_t bytes) override {
+  void on_held(std::uint64_t number, std::size_t bytes, bool has_length) override {
     std::shared_ptr<exchange> given_up;
     {
       const std::lock_guard<std::mutex> lock(mutex_);
       if (open_.find(number) == open_.end()) {
         return;
       }
-      const std::optional<std::uint64_t> largest = held_.hold(number, bytes);
+      const std::optional<std::uint64_t> largest = held_.hold(number, bytes, has_length);
       if (largest) {
         given_up = open_.at(*largest);
       }
--- a/nutmegarch/policy/held_bytes.h
+++ b/nutmegarch/policy/held_bytes.h
@@ -2,10 +2,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <iterator>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
-#include <utility>
 
 namespace nutmegarch::policy {
 
@@ -24,24 +25,31 @@
 };
 
 /// Bounds the bytes that unfinished messages hold together. When they hold too many, the one that holds most
-/// is given up, so that messages without end don't take the room of whole ones. No I/O; not thread-safe.
+/// is given up, one whose length is not known before one whose length is, so that messages without end don't
+/// take the room of whole ones. No I/O; not thread-safe.
 class held_bytes {
  public:
   explicit held_bytes(const held_bytes_settings& settings) : settings_(settings) {}
 
-  /// The holder's message counts for `bytes` now. Returns the holder that is to be given up; it counts no
-  /// longer.
-  std::optional<std::uint64_t> hold(std::uint64_t holder, std::size_t bytes) {
+  /// The holder's message counts for `bytes` now; `has_length`: it has told how long it is. Returns the
+  /// holder that is to be given up; it counts no longer.
+  std::optional<std::uint64_t> hold(std::uint64_t holder, std::size_t bytes, bool has_length) {
     release(holder);
-    by_holder_[holder] = bytes;
-    by_size_.insert({bytes, holder});
+    const place taken{!has_length, bytes, holder};
+    by_holder_[holder] = taken;
+    places_.insert(taken);
     total_ += bytes;
     if (total_ <= settings_.most_bytes) {
       return std::nullopt;
     }
-    const std::uint64_t largest = by_size_.rbegin()->second;
-    release(largest);
-    return largest;
+    // The largest without a length, unless that is not enough; then the largest of the others.
+    auto largest = std::prev(places_.end());
+    if (std::get<0>(*largest) && std::get<1>(*largest) < total_ - settings_.most_bytes) {
+      largest = std::prev(places_.lower_bound({true, 0, 0}));
+    }
+    const std::uint64_t given_up = std::get<2>(*largest);
+    release(given_up);
+    return given_up;
   }
 
   /// The holder's message is whole or was dropped.
@@ -50,8 +58,8 @@
     if (found == by_holder_.end()) {
       return;
     }
-    total_ -= found->second;
-    by_size_.erase({found->second, holder});
+    total_ -= std::get<1>(found->second);
+    places_.erase(found->second);
     by_holder_.erase(found);
   }
 
@@ -59,10 +67,12 @@
   std::size_t total() const { return total_; }
 
  private:
+  /// Whether the length is unknown, the bytes and the holder: the last one is given up first.
+  using place = std::tuple<bool, std::size_t, std::uint64_t>;
+
   held_bytes_settings settings_;
-  std::unordered_map<std::uint64_t, std::size_t> by_holder_;
-  /// Sizes and holders.
-  std::set<std::pair<std::size_t, std::uint64_t>> by_size_;
+  std::unordered_map<std::uint64_t, place> by_holder_;
+  std::set<place> places_;
   std::size_t total_ = 0;
 };
 
