--- a/unit_tests/fuzz/format_fuzz_test.cpp
+++ b/unit_tests/fuzz/format_fuzz_test.cpp
@@ -9,22 +9,12 @@
 
 #include "platform/published_format.h"
 #include "unit_tests/fuzz/mutator.h"
+#include "unit_tests/platform/sample_configuration.h"
 
 namespace nutmegarch {
 
 namespace {
 
-constexpr const char* configuration_text = R"({"Version": 7, "Resources": [
-  {"ResourceType": "Routes", "Metadata": {"Name": "r1"}, "Spec": {"Host": "a.example", "Prefix": "/p/",
-   "Kind": "non_idempotent", "TimeoutMs": 1200, "TargetLatencyMs": 1500, "Priority": 0, "Service": "s1",
-   "MaxAttempts": 2}},
-  {"ResourceType": "Routes", "Metadata": {"Name": "r2"}, "Spec": {"Host": "b.example", "Prefix": "/",
-   "Kind": "idempotent", "TimeoutMs": 0, "TargetLatencyMs": 10, "Priority": 2,
-   "Split": [{"Service": "s1", "Weight": 90}, {"Service": "s2", "Weight": 10}], "MaxAttempts": 3}},
-  {"ResourceType": "Services", "Metadata": {"Name": "s1"}, "Spec": {"MaxConnections": 322}},
-  {"ResourceType": "Limits", "Metadata": {}, "Spec": {"MaxHeaderBytes": 1000, "MaxBodyBytes": 2000,
-   "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}]})";
-
 constexpr const char* server_text = R"({"Service": "shop", "Address": "10.1.0.1:8341", "Zone": "z",
   "Version": "v1", "Slots": 4, "State": "ready", "ColdRemainingMs": 10, "Sequence": 1, "born": 1000})";
 
@@ -61,7 +51,7 @@
   BOOST_TEST_MESSAGE("seed " << random.seed());
   int read = 0;
   for (std::uint64_t i = 0; i < fuzz::mutator::rounds(20'000); ++i) {
-    const std::string text = random.mutate(configuration_text);
+    const std::string text = random.mutate(platform_adapter::configuration_text);
     const result<routes::route_configuration, membership::published_value_error> configuration =
         platform_adapter::parse_configuration(text);
     if (succeeded(configuration)) {
--- a/unit_tests/platform/published_format_test.cpp
+++ b/unit_tests/platform/published_format_test.cpp
@@ -3,22 +3,12 @@
 #include <boost/test/unit_test.hpp>
 
 #include "platform/http_dialect.h"
+#include "unit_tests/platform/sample_configuration.h"
 
 namespace nutmegarch::platform_adapter {
 
 namespace {
 
-constexpr const char* configuration_text = R"({"Version": 7, "Resources": [
-  {"ResourceType": "Routes", "Metadata": {"Name": "r1"}, "Spec": {"Host": "a.example", "Prefix": "/p/",
-   "Kind": "non_idempotent", "TimeoutMs": 1200, "TargetLatencyMs": 1500, "Priority": 0, "Service": "s1",
-   "MaxAttempts": 2}},
-  {"ResourceType": "Routes", "Metadata": {"Name": "r2"}, "Spec": {"Host": "b.example", "Prefix": "/",
-   "Kind": "idempotent", "TimeoutMs": 0, "TargetLatencyMs": 10, "Priority": 2,
-   "Split": [{"Service": "s1", "Weight": 90}, {"Service": "s2", "Weight": 10}], "MaxAttempts": 3}},
-  {"ResourceType": "Services", "Metadata": {"Name": "s1"}, "Spec": {"MaxConnections": 322}},
-  {"ResourceType": "Limits", "Metadata": {}, "Spec": {"MaxHeaderBytes": 1000, "MaxBodyBytes": 2000,
-   "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}]})";
-
 membership::published_item server_item(const std::string& value, const std::string& key = "servers/i-1") {
   return {key, value, 3, false};
 }
