Show that a started node denies new routes by an old view

A node that had just been started answered 404 for routes that the store had acknowledged 2.6 s and 2.9 s before. The first listing of a process is a cheap read, which may be seconds old; the node then reports ready and decides by it until its first watch returns.

The store's stand-in can now return old cheap reads, keep watches silent, refuse reads that are not cheap, and lose single answers. With old cheap reads and silent watches, three cases on the whole path fail, with and without a peer that knows the newer routes: check is_never_denied_and_served(1, "/added/") has failed check refused.status == 503 has failed [404 != 503] and one of the reader's decisions: check !reader.next(start).may_be_stale has failed

--- a/stand_ins/store_stand_in.cpp
+++ b/stand_ins/store_stand_in.cpp
@@ -1,5 +1,6 @@
 #include "stand_ins/store_stand_in.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/archive/iterators/base64_from_binary.hpp>
@@ -55,13 +56,23 @@
     answer({429, {}, ""});
     return;
   }
-  if (mode_ == mode::silent) {
+  if (mode_ == mode::silent || answers_to_lose_ > 0) {
+    answers_to_lose_ = std::max(0, answers_to_lose_ - 1);
     unanswered_.push_back(std::move(answer));
     return;
   }
   const std::string after = parameter(request.target, "after");
   if (request.target.find("kv-range") != std::string::npos) {
-    answer(list(after));
+    const bool is_cheap = !parameter(request.target, "Serializable").empty();
+    if (!is_cheap && are_exact_reads_refused_) {
+      answer({503, {}, ""});
+      return;
+    }
+    answer(list(after, is_cheap ? revision_ - std::min(revision_, cheap_lag_) : revision_));
+    return;
+  }
+  if (are_watches_silent_) {
+    unanswered_.push_back(std::move(answer));
     return;
   }
   const std::uint64_t revision = after.empty() ? 0 : std::stoull(after);
@@ -78,13 +89,11 @@
 
 void store_stand_in::put(const std::string& key, const std::string& value) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  items_[key] = {key, value, revision_ + 1, false};
-  add_change(items_[key]);
+  add_change({key, value, revision_ + 1, false});
 }
 
 void store_stand_in::remove(const std::string& key) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  items_.erase(key);
   add_change({key, "", revision_ + 1, true});
 }
 
@@ -106,6 +115,32 @@
   history_begin_ = revision_;
 }
 
+void store_stand_in::set_cheap_lag(std::uint64_t changes) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  cheap_lag_ = changes;
+}
+
+void store_stand_in::set_watches_silent(bool are_silent) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  are_watches_silent_ = are_silent;
+  if (are_silent) {
+    for (waiting_watch& watch : watches_) {
+      unanswered_.push_back(std::move(watch.answer));
+    }
+    watches_.clear();
+  }
+}
+
+void store_stand_in::set_exact_reads_refused(bool are_refused) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  are_exact_reads_refused_ = are_refused;
+}
+
+void store_stand_in::lose_answers(int calls) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  answers_to_lose_ = calls;
+}
+
 void store_stand_in::end_watches() {
   const std::lock_guard<std::mutex> lock(mutex_);
   const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
@@ -130,10 +165,26 @@
   return calls_;
 }
 
-answer_message store_stand_in::list(const std::string& after) const {
+std::map<std::string, store_stand_in::change> store_stand_in::items_at(std::uint64_t revision) const {
+  std::map<std::string, change> items;
+  for (const change& made : all_changes_) {
+    if (made.revision > revision) {
+      break;
+    }
+    if (made.is_removal) {
+      items.erase(made.key);
+    } else {
+      items[made.key] = made;
+    }
+  }
+  return items;
+}
+
+answer_message store_stand_in::list(const std::string& after, std::uint64_t revision) const {
+  const std::map<std::string, change> listed = items_at(revision);
   boost::json::array items;
   bool has_more = false;
-  for (auto it = items_.upper_bound(after); it != items_.end(); ++it) {
+  for (auto it = listed.upper_bound(after); it != listed.end(); ++it) {
     if (items.size() == page_size) {
       has_more = true;
       break;
@@ -145,7 +196,7 @@
                                         {"CreatedAt", item.revision},
                                         {"Lease", 0}});
   }
-  return as_json(boost::json::object{{"items", items}, {"MorePages", has_more}, {"AsOf", revision_}});
+  return as_json(boost::json::object{{"items", items}, {"MorePages", has_more}, {"AsOf", revision}});
 }
 
 answer_message store_stand_in::changes_after(std::uint64_t revision) const {
@@ -167,6 +218,7 @@
 
 void store_stand_in::add_change(change made) {
   revision_ = made.revision;
+  all_changes_.push_back(made);
   history_.push_back(std::move(made));
   if (mode_ != mode::good) {
     return;
--- a/stand_ins/store_stand_in.h
+++ b/stand_ins/store_stand_in.h
@@ -29,6 +29,14 @@
   void set_mode(mode next);
   /// Forgets the changes so far: watches from earlier revisions are answered 410.
   void forget_history();
+  /// Cheap reads return what the store held this many changes ago.
+  void set_cheap_lag(std::uint64_t changes);
+  /// Watches, waiting and later ones, get no answer, while other calls work.
+  void set_watches_silent(bool are_silent);
+  /// Reads that are not cheap are answered 503.
+  void set_exact_reads_refused(bool are_refused);
+  /// The answers to the next calls are lost: their connections return nothing further.
+  void lose_answers(int calls);
   /// Answers the watches that have waited as long as they asked.
   void end_watches();
   std::uint64_t revision() const;
@@ -49,18 +57,24 @@
     answer_callback answer;
   };
 
-  answer_message list(const std::string& after) const;
+  std::map<std::string, change> items_at(std::uint64_t revision) const;
+  answer_message list(const std::string& after, std::uint64_t revision) const;
   answer_message changes_after(std::uint64_t revision) const;
   void add_change(change made);
 
   mutable std::mutex mutex_;
-  std::map<std::string, change> items_;
+  /// All changes, and those that watches can still return.
+  std::vector<change> all_changes_;
   std::vector<change> history_;
   std::uint64_t revision_ = 1;
   std::uint64_t history_begin_ = 0;
   std::vector<waiting_watch> watches_;
   std::vector<answer_callback> unanswered_;
   mode mode_ = mode::good;
+  std::uint64_t cheap_lag_ = 0;
+  bool are_watches_silent_ = false;
+  bool are_exact_reads_refused_ = false;
+  int answers_to_lose_ = 0;
   int calls_ = 0;
 };
 
--- a/unit_tests/membership/published_state_test.cpp
+++ b/unit_tests/membership/published_state_test.cpp
@@ -99,6 +99,21 @@
   BOOST_TEST(state.items().count("b") == 0U);
 }
 
+// Guards against an old view after a start: the first listing was one that may be some seconds old, and a
+// watch that could have corrected it did not return.
+BOOST_FIXTURE_TEST_CASE(the_first_listing_is_stale_only_if_the_store_refused_another_one, fixture) {
+  BOOST_TEST(!reader.next(start).may_be_stale);
+  reader.on_failure(start);
+  const time_point later = start + std::chrono::seconds(5);
+  BOOST_TEST(reader.next(later).may_be_stale);
+  reader.on_page({entry("a", 3)}, "", 3, later);
+  const store_request confirming = reader.next(later);
+  BOOST_TEST((confirming.what == store_request::kind::watch));
+  BOOST_TEST((confirming.wait < std::chrono::seconds(1)));
+  reader.on_changes({}, 3, later);
+  BOOST_TEST((reader.next(later).wait == published_reader_settings{}.watch));
+}
+
 BOOST_FIXTURE_TEST_CASE(the_pause_grows_with_failures_up_to_its_limit, fixture) {
   const published_reader_settings settings;
   time_point now = start;
--- a/unit_tests/platform/platform_path_test.cpp
+++ b/unit_tests/platform/platform_path_test.cpp
@@ -229,6 +229,26 @@
            200;
   }
 
+  /// Stops the node of a host, publishes a configuration with the further route "/added/" to the other one,
+  /// and lets cheap reads return what was before.
+  void publish_added_route_without(std::size_t stopped) {
+    nodes.erase(stopped);
+    publish(2, {route_json("look", "/look/", "shop", "idempotent"),
+                route_json("added", "/added/", "shop", "idempotent")});
+    BOOST_REQUIRE(wait_for([&]() { return send_request(1 - stopped, "GET", "/added/").status == 200; }));
+    store.set_cheap_lag(1);
+  }
+
+  /// Sends requests until one is served; false if one is answered 404, or none is served.
+  bool is_never_denied_and_served(std::size_t index, const std::string& path) {
+    int status = 0;
+    return wait_for([&]() {
+             status = send_request(index, "GET", path).status;
+             return status == 200 || status == 404;
+           }) &&
+           status == 200;
+  }
+
   int runs() const { return servers.at(0)->runs() + servers.at(1)->runs(); }
   int new_runs() const { return runs() - initial_runs_; }
 
@@ -403,6 +423,42 @@
   BOOST_TEST(wait_for([&]() { return is_ready(1) && send_request(1, "GET", "/look/1").status == 200; }));
 }
 
+// Guards against an old view after a start: a node that had just been started answered 404 for a route that
+// the store had acknowledged 2.6 s before.
+BOOST_FIXTURE_TEST_CASE(restarted_node_does_not_deny_a_new_route_by_an_old_cheap_read, small_platform) {
+  publish_added_route_without(1);
+  store.set_watches_silent(true);
+  start_node(1, false);
+  BOOST_TEST(is_never_denied_and_served(1, "/added/"));
+  BOOST_TEST(is_ready(1));
+  BOOST_TEST(send_request(1, "GET", "/nowhere/").status == 404);
+}
+
+BOOST_FIXTURE_TEST_CASE(restarted_node_that_only_gets_old_cheap_reads_is_confirmed_by_its_peer,
+                        small_platform) {
+  publish_added_route_without(1);
+  store.set_watches_silent(true);
+  store.set_exact_reads_refused(true);
+  start_node(1, false);
+  BOOST_TEST(is_never_denied_and_served(1, "/added/"));
+}
+
+BOOST_FIXTURE_TEST_CASE(node_without_any_confirmation_serves_the_routes_it_knows_and_denies_none,
+                        small_platform) {
+  publish_added_route_without(1);
+  nodes.erase(0);
+  store.set_watches_silent(true);
+  store.set_exact_reads_refused(true);
+  start_node(1, false);
+  BOOST_TEST(send_request(1, "GET", "/look/1").status == 503);
+  BOOST_TEST(!is_ready(1));
+  BOOST_TEST(wait_for([&]() { return is_ready(1); }));
+  BOOST_TEST(send_request(1, "GET", "/look/1").status != 404);
+  const answer_message refused = send_request(1, "GET", "/added/");
+  BOOST_TEST(refused.status == 503);
+  BOOST_TEST(!find_header(refused.fields, "Retry-After").empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(leaving_node_reports_not_ready_and_requests_at_its_peer_succeed, small_platform) {
   nodes[1]->leave();
   BOOST_TEST(wait_for([&]() { return !is_ready(1); }));
