Use a view of the store only once it is confirmed

Callers saw 404 for routes that the store had acknowledged 2.6 s and 2.9 s before, from nodes that had just been started again. The first listing of a process was a cheap read, which may be seconds old, and the node was ready and decided by it, or by the document of a peer of unknown age, until its first watch returned; with a silent watch that took up to 32 s.

view_confirmation now decides whether the view may be used and whether it may deny a route. The first listing is not stale; a cheap one is only read after the store has failed, and is confirmed by a watch of 100 ms, as is the first watch after a failure or a pause, so that regained reads are known at once and not after 30 s. Peers say in each exchange up to which change the store confirms their view; the reply of such a peer to a digest confirms this one's while the store does not answer. Without any confirmation the node answers 503 with Retry-After and is not ready for 2 s, then serves what it knows. A missing route is 404 only by a view that is confirmed now. A configuration from a peer that is not newer is no longer parsed.

The price is one read that is not cheap for each start, one short watch after each failure, and 2 s until a node is ready that starts while neither it nor a peer can read the store.

The cases failed before: check is_never_denied_and_served(1, "/added/") has failed check refused.status == 503 has failed [404 != 503] check !reader.next(start).may_be_stale has failed and pass now, with the other cases of platform_path and published_states.

--- a/nutmegarch/membership/published_reader.cpp
+++ b/nutmegarch/membership/published_reader.cpp
@@ -27,7 +27,7 @@
   } else {
     request.what = store_request::kind::watch;
     request.revision = watched_revision_;
-    request.wait = settings_.watch;
+    request.wait = is_current_ ? settings_.watch : settings_.confirming_watch;
   }
   return request;
 }
@@ -45,6 +45,8 @@
   }
   const bool changed = state_.replace(listing_, listing_revision_, now);
   watched_revision_ = listing_revision_;
+  is_current_ = !may_be_stale_;
+  has_listed_ = true;
   restart_listing(false);
   is_listing_ = false;
   return changed;
@@ -53,6 +55,7 @@
 bool published_reader::on_changes(const std::vector<published_item>& changes, std::uint64_t revision,
                                   time_point now) {
   on_answer(now);
+  is_current_ = true;
   watched_revision_ = std::max(watched_revision_, revision);
   if (!changes.empty()) {
     next_request_time_ = now + gather();
@@ -62,24 +65,27 @@
 
 void published_reader::on_history_lost(time_point now) {
   on_answer(now);
+  is_current_ = false;
   // A stale listing may be older than the oldest change that the store still has.
   restart_listing(false);
 }
 
 void published_reader::on_failure(time_point now) {
   is_open_ = false;
+  is_current_ = false;
   const int doublings = std::min(failures_, max_doublings);
   const duration pause =
       std::min(settings_.longest_pause, settings_.first_pause * (std::int64_t{1} << doublings));
   next_request_time_ = now + from_seconds(to_seconds(pause) * (0.5 + random_.uniform()));
   ++failures_;
   if (is_listing_) {
-    restart_listing(may_be_stale_);
+    restart_listing(!has_listed_);
   }
 }
 
 void published_reader::on_pause() {
   is_open_ = false;
+  is_current_ = false;
   next_request_time_ = time_point{};
   if (is_listing_) {
     restart_listing(may_be_stale_);
--- a/nutmegarch/membership/published_reader.h
+++ b/nutmegarch/membership/published_reader.h
@@ -34,6 +34,9 @@
 struct published_reader_settings {
   /// Longest time that the store waits for changes before it answers a watch.
   duration watch = std::chrono::seconds(30);
+  /// The same for a watch that confirms a listing that may be stale, or that tells whether the store is
+  /// reachable again.
+  duration confirming_watch = std::chrono::milliseconds(100);
   /// Pause between the end of a watch with changes and the next watch, so that one answer returns all changes
   /// of a burst. It applies to a fleet of `gather_fleet_size` nodes and grows with the square root of the
   /// fleet's size, so that the calls of all nodes grow more slowly than the fleet. It is at most
@@ -47,7 +50,8 @@
 };
 
 /// Decides which request to send to the platform's store, and when. It reads a listing page by page, then
-/// watches for changes, and reads a new listing when the store has lost the history of changes. At most one
+/// watches for changes, and reads a new listing when the store has lost the history of changes. A first
+/// listing that failed is read again as one that may be stale, and confirmed by a short watch. At most one
 /// request is in progress at a time. No I/O; not thread-safe.
 class published_reader {
  public:
@@ -77,6 +81,8 @@
   void on_pause();
   /// @}
 
+  /// True when the store's last answer was not stale and no failure, loss of history or pause came after it.
+  bool is_current() const { return is_current_; }
   /// True when the request is the one in progress.
   bool is_open(const store_request& request) const {
     return is_open_ && request.request_id == last_request_id_;
@@ -95,7 +101,11 @@
   bool is_open_ = false;
   std::uint64_t last_request_id_ = 0;
   bool is_listing_ = true;
-  bool may_be_stale_ = true;
+  /// The first listing is stale only if the store did not answer another one: its age is not known, and a
+  /// node that has just started must not act on an old one.
+  bool may_be_stale_ = false;
+  bool has_listed_ = false;
+  bool is_current_ = false;
   /// Items of the pages received so far, and the lowest revision at which a page was read.
   std::vector<published_item> listing_;
   std::uint64_t listing_revision_ = 0;
--- a/nutmegarch/node/control_path.cpp
+++ b/nutmegarch/node/control_path.cpp
@@ -336,29 +336,34 @@
 void control_path::exchange_with(const std::string& address, std::vector<membership::document> documents) {
   protocol::peer_exchange offer = make_offer();
   const bool sent_documents = !documents.empty();
+  const bool sent_digest = !offer.digest.empty();
   offer.documents = std::move(documents);
   state_.metrics.add("exchanges");
   peers_.exchange(address, std::move(offer),
-                  [self = shared_from_this(), address,
-                   sent_documents](const result<protocol::peer_exchange, protocol::peer_error>& outcome) {
+                  [self = shared_from_this(), address, sent_documents,
+                   sent_digest](const result<protocol::peer_exchange, protocol::peer_error>& outcome) {
                     {
                       const std::lock_guard<std::mutex> lock(self->state_.mutex);
                       self->state_.gossip.on_exchanged(address, succeeded(outcome));
                     }
                     if (succeeded(outcome)) {
-                      self->on_reply(address, std::get<protocol::peer_exchange>(outcome), sent_documents);
+                      self->on_reply(address, std::get<protocol::peer_exchange>(outcome), sent_documents,
+                                     sent_digest);
                     }
                   });
 }
 
 void control_path::on_reply(const std::string& address, const protocol::peer_exchange& reply,
-                            bool sent_documents) {
+                            bool sent_documents, bool sent_digest) {
   const bool has_changed = merge(reply);
   std::vector<membership::document> missing_documents;
   {
     const std::lock_guard<std::mutex> lock(state_.mutex);
     missing_documents = state_.documents.newer_than(reply.digest);
     state_.revalidating_until = time_point{};
+    if (published_ && sent_digest) {
+      published_->on_peer_view(reply.store_revision);
+    }
   }
   if (has_changed) {
     boost::asio::post(workers_, [self = shared_from_this()]() { self->announce_update(); });
@@ -376,6 +381,7 @@
   protocol::peer_exchange offer;
   const std::lock_guard<std::mutex> lock(state_.mutex);
   offer.self = {state_.settings.identity.host, state_.incarnation, state_.leaving};
+  offer.store_revision = published_ ? published_->confirmed_revision() : 0;
   // A node that can read the store needs no documents from its peers, and large ones would fill the links.
   if (published_ && !published_->needs_peers()) {
     offer.marks = state_.crashes.gossip_marks(state_.clock.now());
--- a/nutmegarch/node/control_path.h
+++ b/nutmegarch/node/control_path.h
@@ -54,7 +54,9 @@
   void send_due_updates();
   /// Sends an exchange to a peer, with the documents that it is known to lack.
   void exchange_with(const std::string& address, std::vector<membership::document> documents);
-  void on_reply(const std::string& address, const protocol::peer_exchange& reply, bool sent_documents);
+  /// `sent_documents` and `sent_digest` tell what the offer contained.
+  void on_reply(const std::string& address, const protocol::peer_exchange& reply, bool sent_documents,
+                bool sent_digest);
   protocol::peer_exchange make_offer() const;
   /// Applies what a peer has sent; returns true when it changed the local state.
   bool merge(const protocol::peer_exchange& from);
--- a/nutmegarch/node/node_state.cpp
+++ b/nutmegarch/node/node_state.cpp
@@ -17,6 +17,7 @@
       crashes(own_settings.crashes),
       suspects(own_settings.crashes.suspect_capacity),
       endpoints({own_settings.identity.host, own_settings.identity.domain, own_settings.identity.region}),
-      gossip(own_settings.gossip, random) {}
+      gossip(own_settings.gossip, random),
+      view(own_settings.view) {}
 
 }  // namespace nutmegarch::node
--- a/nutmegarch/node/node_state.h
+++ b/nutmegarch/node/node_state.h
@@ -8,6 +8,7 @@
 #include "nutmegarch/membership/document_table.h"
 #include "nutmegarch/membership/endpoint_table.h"
 #include "nutmegarch/membership/gossip_schedule.h"
+#include "nutmegarch/membership/view_confirmation.h"
 #include "nutmegarch/node/edge_dialect.h"
 #include "nutmegarch/node/node_settings.h"
 #include "nutmegarch/node/request_log.h"
@@ -58,6 +59,8 @@
   membership::gossip_schedule gossip;
   /// Published routes; null if the platform publishes none and until the first configuration is read.
   std::shared_ptr<const routes::route_table> routes;
+  /// Whether the copy of the platform's store may be used.
+  membership::view_confirmation view;
   routes::weighted_round_robin splits;
   request_log requests;
   policy::inner_route_detector inner_routes;
--- a/nutmegarch/node/readiness_api.cpp
+++ b/nutmegarch/node/readiness_api.cpp
@@ -6,7 +6,7 @@
   bool is_ready = false;
   {
     const std::lock_guard<std::mutex> lock(state_.mutex);
-    is_ready = state_.routes && !state_.leaving;
+    is_ready = state_.routes && state_.view.may_serve(state_.clock.now()) && !state_.leaving;
   }
   answer({is_ready ? 200 : 503, {}, {}});
 }
--- a/nutmegarch/node/readiness_api.h
+++ b/nutmegarch/node/readiness_api.h
@@ -5,7 +5,8 @@
 
 namespace nutmegarch::node {
 
-/// Readiness check of the platform: answers 200 when the node has routes and is not leaving, else 503.
+/// Readiness check of the platform: answers 200 when the node has routes, may use them and is not leaving,
+/// else 503.
 /// Thread-safe.
 class readiness_api final : public http::request_handler {
  public:
--- a/nutmegarch/node/routed_call.cpp
+++ b/nutmegarch/node/routed_call.cpp
@@ -51,12 +51,13 @@
 
 std::variant<built_call, call_reason> build_routed_call(node_state& state, const edge_dialect& dialect,
                                                         const request_message& request, time_point now) {
-  if (!state.routes) {
+  if (!state.routes || !state.view.may_serve(now)) {
     return call_reason::not_configured;
   }
   const routes::route* const route = state.routes->find(request.authority, request.target);
   if (route == nullptr) {
-    return call_reason::no_route;
+    // An old view may lack a route that was added since.
+    return state.view.is_confirmed(now) ? call_reason::no_route : call_reason::not_configured;
   }
   const caller_fields caller_info = dialect.read_caller(request.fields);
   if (caller_info.is_malformed) {
--- a/nutmegarch/node/store_synchronizer.cpp
+++ b/nutmegarch/node/store_synchronizer.cpp
@@ -73,7 +73,10 @@
       source_(std::move(source)),
       store_copy_(state.settings.published),
       reader_(state.settings.store, store_copy_, state.random),
-      peer_port_(port_part(state.settings.listen.peers)) {}
+      peer_port_(port_part(state.settings.listen.peers)) {
+  const std::lock_guard<std::mutex> lock(state_.mutex);
+  state_.view.on_start(state_.clock.now());
+}
 
 const std::vector<std::string>& store_synchronizer::document_keys() {
   static const std::vector<std::string> keys = {hosts_document, configuration_document};
@@ -88,6 +91,7 @@
     if (store_copy_.on_tick(now)) {
       apply_hosts("grace-over");
     }
+    log_confirmation("silence");
     request = reader_.next(now);
   }
   if (request.what == membership::store_request::kind::none) {
@@ -104,6 +108,8 @@
   source_->drop_connections();
   const std::lock_guard<std::mutex> lock(state_.mutex);
   reader_.on_pause();
+  state_.view.on_store_doubtful();
+  log_confirmation("pause");
 }
 
 void store_synchronizer::on_answer(const membership::store_request& sent_request,
@@ -119,6 +125,9 @@
       const membership::store_answer& answer = std::get<membership::store_answer>(outcome);
       std::vector<membership::published_item> items = answer.items;
       state_.gossip.on_update_received(now);
+      for (const membership::published_item& item : items) {
+        newest_change_ = std::max(newest_change_, item.revision);
+      }
       has_changed = extract_configuration(items);
       const bool is_page = sent_request.what == membership::store_request::kind::read_page;
       const bool hosts_changed = is_page ? reader_.on_page(items, answer.next_key, answer.revision, now)
@@ -130,14 +139,21 @@
         update_hosts_document();
       }
       state_.revalidating_until = time_point{};
+      if (reader_.is_current()) {
+        state_.view.on_store_answer(now);
+      }
+      log_confirmation(is_page ? "listing" : "watch");
     } else if (std::get<membership::store_error>(outcome) == membership::store_error::history_lost) {
       reader_.on_history_lost(now);
+      state_.view.on_store_doubtful();
       observe::log_event(observe::log_level::info, "store-history-lost",
                          {{"revision", std::to_string(sent_request.revision)}});
     } else {
       reader_.on_failure(now);
+      state_.view.on_store_doubtful();
       state_.metrics.add("store_failures");
     }
+    log_confirmation("store-failure");
     const bool is_reachable = reader_.failures() == 0;
     if (is_reachable != is_store_reachable_) {
       is_store_reachable_ = is_reachable;
@@ -152,6 +168,10 @@
 
 bool store_synchronizer::accept_document(const membership::document& offered) {
   if (offered.stamp.key == configuration_document) {
+    // Parsing a large configuration only to find that it is not newer would take much time.
+    if (state_.routes && offered.stamp.version <= state_.routes->version()) {
+      return false;
+    }
     return accept_configuration(offered.body, offered.stamp.revision, "peer");
   }
   const std::vector<membership::published_item> items = parse_items(offered.body);
@@ -162,6 +182,28 @@
   return true;
 }
 
+void store_synchronizer::on_peer_view(std::uint64_t revision) {
+  if (revision == 0 || store_copy_.revision() < revision || !state_.routes) {
+    return;
+  }
+  state_.view.on_peer_view(state_.clock.now());
+  log_confirmation("peer");
+}
+
+void store_synchronizer::log_confirmation(const char* source) {
+  const time_point now = state_.clock.now();
+  const bool is_confirmed = state_.view.is_confirmed(now);
+  if (is_confirmed == was_confirmed_) {
+    return;
+  }
+  was_confirmed_ = is_confirmed;
+  observe::log_event(observe::log_level::info, is_confirmed ? "view-confirmed" : "view-unconfirmed",
+                     {{"source", source},
+                      {"revision", std::to_string(store_copy_.revision())},
+                      {"version", std::to_string(state_.configuration_version())},
+                      {"age_ms", observe::to_milliseconds_text(now - state_.view.last_confirmed())}});
+}
+
 bool store_synchronizer::extract_configuration(std::vector<membership::published_item>& items) {
   bool has_changed = false;
   for (const membership::published_item& item : items) {
--- a/nutmegarch/node/store_synchronizer.h
+++ b/nutmegarch/node/store_synchronizer.h
@@ -26,9 +26,19 @@
   void on_tick();
   /// Call after the process was suspended: connections may be dead, and the local copy may be stale.
   void on_pause();
-  /// True when the store can't be read now, or routes or targets have not been read yet. Requires the
+  /// True when the store can't be read now, or has not confirmed the view of this node. Requires the state's
+  /// lock.
+  bool needs_peers() const {
+    return reader_.failures() > 0 || !state_.view.is_confirmed_by_store() || !state_.routes;
+  }
+  /// Revision of the newest change that the store has told this node of; 0 when the store does not confirm
+  /// the view now. Requires the state's lock.
+  std::uint64_t confirmed_revision() const {
+    return state_.view.is_confirmed_by_store() ? newest_change_ : 0;
+  }
+  /// A peer has sent all documents that this node lacks. `revision` is its confirmed_revision(). Requires the
   /// state's lock.
-  bool needs_peers() const { return reader_.failures() > 0 || store_copy_.revision() == 0 || !state_.routes; }
+  void on_peer_view(std::uint64_t revision);
   /// Applies a document from a peer when it is newer than the local one; returns true when it was applied.
   /// Requires the state's lock.
   bool accept_document(const membership::document& offered);
@@ -42,6 +52,8 @@
   /// Applies a configuration when it is newer than the one in force; returns true when it was applied.
   /// Requires the state's lock.
   bool accept_configuration(const std::string& value, std::uint64_t revision, const std::string& from);
+  /// Logs when the view becomes confirmed or ceases to be. Requires the state's lock.
+  void log_confirmation(const char* source);
   void log_changed_routes(const routes::route_configuration& next) const;
   /// Removes the configuration from the items and applies it, when it is among them. Returns true when it was
   /// applied. Requires the state's lock.
@@ -75,6 +87,9 @@
   std::map<std::string, std::uint64_t> unreadable_entries_;
   std::map<std::string, bool> leaving_by_instance_;
   bool is_store_reachable_ = true;
+  /// What was logged last.
+  bool was_confirmed_ = false;
+  std::uint64_t newest_change_ = 0;
   std::string peer_port_;
 };
 
--- a/nutmegarch/protocol/codec.cpp
+++ b/nutmegarch/protocol/codec.cpp
@@ -171,6 +171,7 @@
   to.setIncarnation(from.self.incarnation);
   to.setLeaving(from.self.leaving);
   to.setStamp(from.stamp);
+  to.setStoreRevision(from.store_revision);
   capnp::List<wire::DocumentStamp>::Builder digest = to.initDigest(static_cast<unsigned>(from.digest.size()));
   for (std::size_t i = 0; i < from.digest.size(); ++i) {
     write_stamp(from.digest.at(i), digest[static_cast<unsigned>(i)]);
@@ -194,6 +195,7 @@
   peer_exchange exchange;
   exchange.self = {to_text(from.getHost()), from.getIncarnation(), from.getLeaving()};
   exchange.stamp = from.getStamp();
+  exchange.store_revision = from.getStoreRevision();
   for (const wire::DocumentStamp::Reader stamp : from.getDigest()) {
     exchange.digest.push_back(read_stamp(stamp));
   }
--- a/nutmegarch/protocol/peer.capnp
+++ b/nutmegarch/protocol/peer.capnp
@@ -88,6 +88,9 @@
   documents @4 :List(Document);
   marks @5 :List(CrashMark);
   stamp @6 :UInt64;
+  # Revision of the newest change that the platform's store has told the sender of; 0 if the store does not
+  # confirm the sender's view now.
+  storeRevision @7 :UInt64;
 }
 
 interface Peer {
--- a/nutmegarch/protocol/peer.capnp.h
+++ b/nutmegarch/protocol/peer.capnp.h
@@ -157,7 +157,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f03d1315d37be1ff, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f03d1315d37be1ff, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1189,6 +1189,8 @@
 
   inline  ::uint64_t getStamp() const;
 
+  inline  ::uint64_t getStoreRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1254,6 +1256,9 @@
   inline  ::uint64_t getStamp();
   inline void setStamp( ::uint64_t value);
 
+  inline  ::uint64_t getStoreRevision();
+  inline void setStoreRevision( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3255,6 +3260,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Exchange::Reader::getStoreRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Exchange::Builder::getStoreRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Exchange::Builder::setStoreRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/nutmegarch/protocol/peer_messages.h
+++ b/nutmegarch/protocol/peer_messages.h
@@ -53,6 +53,9 @@
   std::vector<policy::crash_mark> marks;
   /// Hybrid logical clock of the sender.
   std::uint64_t stamp = 0;
+  /// Revision of the newest change that the platform's store has told the sender of; 0 if the store does not
+  /// confirm the sender's view now.
+  std::uint64_t store_revision = 0;
 };
 
 /// Errors of the protocol between nodes.
