Show that a node with a silent watch keeps an old view

Requests reached servers whose leaving had been acknowledged over the drain time ago, and new routes were denied. A watch whose answer was lost, or whose connection is dead, stays open for up to 32 s. All the while the store counts as reachable, so the node asks no peer for documents, although its peers know the change and talk to it twice a second.

The path tests keep one node's open watch silent while the other node reads the store, and both fail within the bound of 2.5 s: check wait_for([&]() { return send_request(1, "GET", "/added/").status == 200; }, change_bound) has failed and, where the node beside the leaving server has the silent watch: check wait_for(... servers[0]->runs() == before ..., change_bound) has failed

--- a/stand_ins/store_stand_in.cpp
+++ b/stand_ins/store_stand_in.cpp
@@ -160,6 +160,11 @@
   return revision_;
 }
 
+std::size_t store_stand_in::open_watches() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return watches_.size();
+}
+
 int store_stand_in::calls() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return calls_;
--- a/stand_ins/store_stand_in.h
+++ b/stand_ins/store_stand_in.h
@@ -40,6 +40,8 @@
   /// Answers the watches that have waited as long as they asked.
   void end_watches();
   std::uint64_t revision() const;
+  /// Watches that wait for a change and will get an answer.
+  std::size_t open_watches() const;
   /// Requests so far, refused ones included.
   int calls() const;
 
--- a/unit_tests/platform/platform_path_test.cpp
+++ b/unit_tests/platform/platform_path_test.cpp
@@ -24,8 +24,11 @@
 
 constexpr std::chrono::seconds wait_timeout{30};
 
-bool wait_for(const std::function<bool()>& condition) {
-  const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + wait_timeout;
+/// Within this time a change that the store has acknowledged must be in force.
+constexpr std::chrono::milliseconds change_bound{2'500};
+
+bool wait_for(const std::function<bool()>& condition, duration timeout = wait_timeout) {
+  const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + timeout;
   while (std::chrono::steady_clock::now() < end) {
     if (condition()) {
       return true;
@@ -239,6 +242,16 @@
     store.set_cheap_lag(1);
   }
 
+  /// The watch of a node stays open and returns nothing; that of the other node works.
+  void silence_the_watch_of(std::size_t index) {
+    BOOST_REQUIRE(wait_for([&]() { return store.open_watches() == 2; }));
+    store.set_watches_silent(true);
+    store.set_watches_silent(false);
+    nodes.erase(1 - index);
+    start_node(1 - index);
+    BOOST_REQUIRE(wait_for([&]() { return send_request(1 - index, "GET", "/look/1").status == 200; }));
+  }
+
   /// Sends requests until one is served; false if one is answered 404, or none is served.
   bool is_never_denied_and_served(std::size_t index, const std::string& path) {
     int status = 0;
@@ -459,6 +472,29 @@
   BOOST_TEST(!find_header(refused.fields, "Retry-After").empty());
 }
 
+// Guards against an old view behind a watch that is open but dead: requests were sent to servers whose
+// leaving had been acknowledged longer than the drain time ago, and new routes were denied.
+BOOST_FIXTURE_TEST_CASE(node_whose_watch_went_silent_learns_of_changes_in_time, small_platform) {
+  silence_the_watch_of(1);
+  publish(2, {route_json("look", "/look/", "shop", "idempotent"),
+              route_json("added", "/added/", "shop", "idempotent")});
+  BOOST_TEST(wait_for([&]() { return send_request(1, "GET", "/added/").status == 200; }, change_bound));
+}
+
+BOOST_FIXTURE_TEST_CASE(node_whose_watch_went_silent_sends_no_requests_to_a_leaving_server, small_platform) {
+  silence_the_watch_of(0);
+  register_server("i-0", 0, "draining");
+  BOOST_TEST(wait_for(
+      [&]() {
+        const int before = servers[0]->runs();
+        for (int i = 0; i < 6; ++i) {
+          BOOST_REQUIRE(send_request(0, "GET", "/look/1").status == 200);
+        }
+        return servers[0]->runs() == before;
+      },
+      change_bound));
+}
+
 BOOST_FIXTURE_TEST_CASE(leaving_node_reports_not_ready_and_requests_at_its_peer_succeed, small_platform) {
   nodes[1]->leave();
   BOOST_TEST(wait_for([&]() { return !is_ready(1); }));
