--- a/unit_tests/membership/published_state_test.cpp
+++ b/unit_tests/membership/published_state_test.cpp
@@ -159,6 +159,30 @@
   BOOST_TEST(state.items().empty());
 }
 
+// Guards against a loss of all answers at once: the store answered the watches of all nodes with a change,
+// the answers were lost, and nobody asked again for 30 s.
+BOOST_AUTO_TEST_CASE(some_watch_of_a_fleet_ends_soon_after_all_began_at_the_same_time) {
+  for (const std::size_t nodes : {16U, 64U, 6'300U}) {
+    duration shortest = std::chrono::hours(1);
+    duration sum{};
+    for (std::size_t i = 0; i < nodes; ++i) {
+      random_source random(i + 1);
+      published_state state{published_state_settings{}};
+      published_reader reader(published_reader_settings{}, state, random);
+      reader.set_fleet_size(nodes);
+      reader.next(start);
+      reader.on_page({entry("a", 1)}, "", 1, start);
+      const store_request watch = reader.next(start);
+      shortest = std::min(shortest, watch.wait);
+      sum += watch.wait;
+    }
+    BOOST_TEST((shortest <= std::chrono::seconds(2)));
+    // Without any change, at most two calls a second for a small fleet, and two a node and watch length.
+    const double calls_per_second = static_cast<double>(nodes * nodes) / to_seconds(sum);
+    BOOST_TEST(calls_per_second <= std::max(3.0, static_cast<double>(nodes) * 2.2 / 30));
+  }
+}
+
 // The store changes every 10 ms, and every node of the fleet watches it directly.
 BOOST_FIXTURE_TEST_CASE(the_calls_of_all_nodes_grow_more_slowly_than_the_fleet, fixture) {
   const published_reader_settings settings;
