--- a/stand_ins/store_stand_in.cpp
+++ b/stand_ins/store_stand_in.cpp
@@ -22,6 +22,16 @@
   return text;
 }
 
+std::string percent_decode(const std::string& text) {
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const bool is_encoded = text.at(i) == '%' && i + 2 < text.size();
+    decoded += is_encoded ? static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16)) : text.at(i);
+    i += is_encoded ? 2 : 0;
+  }
+  return decoded;
+}
+
 /// The value of a parameter of the query; empty when it is absent.
 std::string parameter(const std::string& target, const std::string& name) {
   const std::size_t query = target.find('?');
@@ -31,7 +41,7 @@
     const std::size_t end = target.find('&', begin);
     const std::string pair = target.substr(begin, end == std::string::npos ? end : end - begin);
     if (pair.compare(0, name.size() + 1, name + '=') == 0) {
-      return pair.substr(name.size() + 1);
+      return percent_decode(pair.substr(name.size() + 1));
     }
     at = end;
   }
--- a/unit_tests/platform/platform_path_test.cpp
+++ b/unit_tests/platform/platform_path_test.cpp
@@ -16,6 +16,7 @@
 #include "platform/adapter.h"
 #include "stand_ins/store_stand_in.h"
 #include "unit_tests/http/endless_peer.h"
+#include "unit_tests/http/scripted_peer.h"
 #include "unit_tests/loopback.h"
 
 namespace nutmegarch::platform_adapter {
@@ -112,6 +113,45 @@
   return text + "]}";
 }
 
+/// Values of entries that name no server to use. One of them has the address of a server, and a service that
+/// no configuration names.
+std::vector<std::string> odd_entry_values(const std::string& taken_address) {
+  const auto entry = [](const std::string& service, const std::string& address, const std::string& slots,
+                        const std::string& born) {
+    return R"({"Service": ")" + service + R"(", "Address": ")" + address +
+           R"(", "Zone": "z", "Version": "v1", "Slots": )" + slots +
+           R"(, "State": "ready", "ColdRemainingMs": 0, "Sequence": 1, "born": )" + born + "}";
+  };
+  constexpr const char* address = "127.99.0.1:20001";
+  std::vector<std::string> values = {"",
+                                     "null",
+                                     "[]",
+                                     "\xFF\xFE not UTF-8",
+                                     std::string("\0\0\0", 3),
+                                     std::string(100'000, '['),
+                                     std::string(100'000, '9'),
+                                     R"({"Service": "shop", "Slots": )" + std::string(400, '9') + "}",
+                                     entry("ghost", taken_address, "4", "2000")};
+  std::string nested = "1";
+  for (int i = 0; i < 1'000; ++i) {
+    nested = R"({"a": )" + nested + "}";
+  }
+  values.push_back(nested);
+  for (const char* const slots :
+       {"1e999", "1e300", "-1", "0", "1.5", "true", "99999999999999999999", "2147483647"}) {
+    values.push_back(entry("shop", address, slots, "1000"));
+  }
+  for (const char* const odd_address :
+       {"127.99.0.1:0", "127.99.0.1:65536", "127.99.0.1:99999999999999999999", "127.99.0.1:-1", "127.99.0.1",
+        "0.0.0.0:20001", "255.255.255.255:20001", "224.0.0.1:20001", "[::]:20001", "nowhere:20001", ""}) {
+    values.push_back(entry("shop", odd_address, "4", "1000"));
+  }
+  for (const char* const born : {"1e999", "1e300", "-1", "1.5", "\"soon\"", "{}"}) {
+    values.push_back(entry("shop", taken_address, "4", born));
+  }
+  return values;
+}
+
 /// Two hosts, each with a server and a node, and the metadata store.
 struct small_platform {
   /// Declared first, so that it outlives the store and the servers: they hold answers whose connections use
@@ -210,10 +250,62 @@
     BOOST_REQUIRE(wait_for([&]() { return is_ready(index); }));
   }
 
+  /// Replaces the server of a host by one that answers by a script, and restarts the host's node.
+  void replace_by_scripted_server(std::size_t index, const http::scripted_peer::script& script) {
+    nodes.erase(index);
+    http_servers_.at(index)->stop();
+    const boost::asio::ip::tcp::endpoint address =
+        *http::parse_address(ip_of(peer_addresses_.at(index)) + ":20001");
+    BOOST_REQUIRE(wait_for([&]() {
+      try {
+        scripted_peer_ = std::make_unique<http::scripted_peer>(script, address);
+      } catch (const boost::system::system_error&) {
+        // The address is still taken.
+      }
+      return scripted_peer_ != nullptr;
+    }));
+    start_node(index);
+    BOOST_REQUIRE(wait_for([&]() { return is_ready(index); }));
+  }
+
   std::string metrics(std::size_t index) const {
     return send(ip_of(peer_addresses_.at(index)) + ":20003", {"GET", "/metrics", {}, ""}).body;
   }
 
+  /// Writes odd entries among those of the servers.
+  void put_odd_entries() {
+    int number = 0;
+    for (const std::string& value : odd_entry_values(ip_of(peer_addresses_.at(0)) + ":20001")) {
+      store.put("servers/odd-" + std::to_string(++number), value);
+    }
+    const std::string valid = R"({"Service": "shop", "Address": "127.99.0.1:20001", "Zone": "z", )"
+                              R"("Version": "v1", "Slots": 4, "State": "ready", "ColdRemainingMs": 0, )"
+                              R"("Sequence": 1, "born": 1000})";
+    for (const char* const key : {"servers/", "servers/a b", "servers/a\r\nX-Odd: 1", "servers/\xC3\xA9",
+                                  "servers/a\tb", "servers"}) {
+      store.put(key, valid);
+    }
+    store.put("servers/" + std::string(192, 'k'), "{");
+  }
+
+  /// True if a node has taken the changes so far: it applies a configuration that is published now.
+  bool follows_changes(std::size_t index, int version) {
+    const std::string path = "/at" + std::to_string(version) + "/";
+    publish(version, {route_json("look", "/look/", "shop", "idempotent"),
+                      route_json("buy", "/buy/", "shop", "non_idempotent"),
+                      route_json("new", path, "shop", "idempotent")});
+    return wait_for([&]() { return send_request(index, "GET", path).status == 200; });
+  }
+
+  /// Number of requests, of some sent to the node, that each of the servers ran.
+  std::array<int, 2> runs_of_requests_to(std::size_t index) {
+    const std::array<int, 2> before = {servers.at(0)->runs(), servers.at(1)->runs()};
+    for (int i = 0; i < 40; ++i) {
+      BOOST_TEST(send_request(index, "POST", "/buy/1").status == 200);
+    }
+    return {servers.at(0)->runs() - before.at(0), servers.at(1)->runs() - before.at(1)};
+  }
+
   answer_message send_request(std::size_t index, const std::string& method, const std::string& path,
                               headers fields = {}, const std::string& body = "") {
     static std::atomic<int> last_id{0};
@@ -258,6 +350,7 @@
   std::vector<std::string> peer_addresses_;
   std::vector<std::unique_ptr<http::server>> http_servers_;
   std::unique_ptr<http::endless_peer> endless_peer_;
+  std::unique_ptr<http::scripted_peer> scripted_peer_;
   std::thread thread_;
   int initial_runs_ = 0;
 };
@@ -323,6 +416,107 @@
   BOOST_TEST(send_request(0, "GET", "/look/1").status == 200);
 }
 
+// Guards against a fleet that stops following the servers because another writer left odd entries among them.
+BOOST_FIXTURE_TEST_CASE(odd_entries_in_changes_leave_the_others_in_force, small_platform) {
+  put_odd_entries();
+  for (std::size_t index = 0; index < 2; ++index) {
+    BOOST_TEST(follows_changes(index, 2 + static_cast<int>(index)));
+    const std::array<int, 2> seen = runs_of_requests_to(index);
+    BOOST_TEST(seen.at(0) > 0);
+    BOOST_TEST(seen.at(1) > 0);
+  }
+  register_server("i-0", 0, "draining");
+  BOOST_TEST(follows_changes(1, 4));
+  BOOST_TEST(runs_of_requests_to(1).at(0) == 0);
+}
+
+// Guards against processes that end, or start without servers, because of odd entries in the first listing.
+BOOST_FIXTURE_TEST_CASE(odd_entries_in_a_listing_leave_the_others_in_force, small_platform) {
+  put_odd_entries();
+  for (std::size_t index = 0; index < 2; ++index) {
+    nodes.erase(index);
+    start_node(index, false);
+    BOOST_REQUIRE(wait_for([&]() { return is_ready(index); }));
+    BOOST_TEST(follows_changes(index, 2 + static_cast<int>(index)));
+    const std::array<int, 2> seen = runs_of_requests_to(index);
+    BOOST_TEST(seen.at(0) > 0);
+    BOOST_TEST(seen.at(1) > 0);
+  }
+}
+
+// Guards against nodes that refuse all that a peer knows, because bytes of one entry are no text.
+BOOST_FIXTURE_TEST_CASE(odd_entries_in_the_document_of_a_peer_leave_the_others_in_force, small_platform) {
+  put_odd_entries();
+  BOOST_REQUIRE(follows_changes(0, 2));
+  store.set_mode(stand_ins::store_stand_in::mode::refuses);
+  nodes.erase(1);
+  start_node(1);
+  BOOST_TEST(wait_for([&]() { return is_ready(1) && send_request(1, "GET", "/look/1").status == 200; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(ten_thousand_odd_entries_leave_the_others_in_force, small_platform) {
+  constexpr int entry_count = 10'000;
+  store.set_mode(stand_ins::store_stand_in::mode::refuses);
+  for (int i = 0; i < entry_count; ++i) {
+    store.put("servers/odd-" + std::to_string(i), "[[[[ \xFF " + std::to_string(i));
+  }
+  store.set_mode(stand_ins::store_stand_in::mode::good);
+  BOOST_TEST(follows_changes(0, 2));
+  const std::array<int, 2> seen = runs_of_requests_to(0);
+  BOOST_TEST(seen.at(0) > 0);
+  BOOST_TEST(seen.at(1) > 0);
+}
+
+// Guards against orders that a server runs although their caller is told that they have not run.
+BOOST_FIXTURE_TEST_CASE(earlier_refusal_on_a_kept_connection_is_not_believed, small_platform) {
+  std::atomic<int> orders{0};
+  replace_by_scripted_server(
+      1, [&](int, int request, const http::scripted_peer::request_type& content) -> http::scripted_reply {
+        const std::string id(content["Nutmegarch-Attempt-Id"]);
+        if (content.method() == boost::beast::http::verb::post && request > 1) {
+          ++orders;
+          return {"HTTP/1.1 503 Busy\r\nNutmegarch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+        }
+        return {"HTTP/1.1 200 OK\r\nNutmegarch-Attempt-Id: " + id +
+                "\r\nNutmegarch-Response-Signature: s\r\nContent-Length: 3\r\n\r\nran"};
+      });
+  for (int i = 0; i < 40; ++i) {
+    const int before = orders + servers.at(0)->runs();
+    const int status = send_request(i % 2, "POST", "/buy/1").status;
+    BOOST_TEST((status == 200 || status == 502));
+    BOOST_TEST(orders + servers.at(0)->runs() - before <= 1);
+    send_request(i % 2, "GET", "/look/1");
+  }
+  BOOST_TEST(orders > 0);
+}
+
+// Guards against short successes: a server stops in the middle of its answer and closes.
+BOOST_FIXTURE_TEST_CASE(answer_that_a_server_cut_is_neither_a_success_nor_a_refusal, small_platform) {
+  const std::string body = "abcdefghijkl";
+  std::atomic<std::size_t> size{0};
+  std::atomic<int> cuts{0};
+  std::string whole;
+  replace_by_scripted_server(
+      1, [&](int, int, const http::scripted_peer::request_type& content) -> http::scripted_reply {
+        whole = "HTTP/1.1 200 OK\r\nNutmegarch-Attempt-Id: " + std::string(content["Nutmegarch-Attempt-Id"]) +
+                "\r\nNutmegarch-Response-Signature: s.1\r\nContent-Length: 12\r\n\r\n" + body;
+        if (content.method() != boost::beast::http::verb::post) {
+          return {whole};
+        }
+        ++cuts;
+        size = (size + 7) % whole.size();
+        return {whole.substr(0, size),
+                cuts % 2 == 0 ? http::scripted_reply::next::close : http::scripted_reply::next::reset};
+      });
+  for (int i = 0; i < 60; ++i) {
+    const int before = cuts;
+    const answer_message answer = send_request(i % 2, "POST", "/buy/1");
+    BOOST_TEST(answer.status == (cuts > before ? 502 : 200), "after " << size << " bytes");
+    send_request(i % 2, "GET", "/look/1");
+  }
+  BOOST_TEST(cuts > 0);
+}
+
 // Guards against requests to instances that have ended: after all hosts had restarted with new server
 // processes at the old addresses, requests named the old instances until their entries in the store expired.
 BOOST_FIXTURE_TEST_CASE(new_instance_at_an_address_replaces_the_old_one, small_platform) {
--- a/unit_tests/platform/published_format_test.cpp
+++ b/unit_tests/platform/published_format_test.cpp
@@ -13,6 +13,9 @@
   return {key, value, 3, false};
 }
 
+constexpr const char* server_text = R"({"Service": "shop", "Address": "10.1.0.1:8341", "Zone": "z",
+  "Version": "v1", "Slots": 4, "State": "ready", "ColdRemainingMs": 10, "Sequence": 1, "born": 1000})";
+
 bool is_read(const std::string& value) { return succeeded(parse_server(server_item(value))); }
 
 }  // namespace
@@ -134,6 +137,65 @@
   BOOST_TEST(!read_store_answer("").has_value());
 }
 
+// Guards against a fleet that stops following the store because of one item.
+BOOST_AUTO_TEST_CASE(one_odd_item_of_an_answer_leaves_the_others_readable) {
+  for (const char* const odd :
+       {R"({"Key": "o", "Revision": 6})", R"({"Key": "o", "Value": "*", "Revision": 6})",
+        R"({"Key": "o", "Value": 7, "Revision": 6})", R"({"Key": "o", "Value": "", "Revision": 6})",
+        R"({"Key": "o", "Value": "YQ==", "Revision": "6"})", R"({"Key": "o", "Value": "YQ=="})",
+        R"({"Value": "YQ==", "Revision": 6})", R"({"Key": 3, "Value": "YQ==", "Revision": 6})", "7", "null",
+        "[]"}) {
+    const std::string valid = R"({"Key": "a", "Value": "YQ==", "Revision": 5})";
+    for (const char* const list : {"items", "events"}) {
+      const std::optional<membership::store_answer> answer = read_store_answer(
+          "{\"" + std::string(list) + "\": [" + odd + ", " + valid + R"(], "MorePages": true, "AsOf": 7})");
+      BOOST_REQUIRE_MESSAGE(answer.has_value(), odd);
+      BOOST_REQUIRE(!answer->items.empty());
+      BOOST_TEST(answer->items.back().key == "a");
+      BOOST_TEST(answer->items.back().value == "a");
+      BOOST_TEST(answer->next_key == (list == std::string("items") ? "a" : answer->next_key));
+    }
+  }
+  // Without a key, the next page is not known, and entries of it must not count as removed.
+  BOOST_TEST(!read_store_answer(R"({"items": [{"Key": 3}], "MorePages": true, "AsOf": 7})").has_value());
+}
+
+// Guards against a field of a request that another writer adds by a key.
+BOOST_AUTO_TEST_CASE(entry_with_a_key_that_is_no_plain_text_names_no_server) {
+  const auto is_read_with_key = [](const std::string& key) {
+    return succeeded(parse_server(server_item(server_text, key)));
+  };
+  BOOST_TEST(is_read_with_key("servers/i-1"));
+  for (const char* const key : {"servers/a b", "servers/a\r\nX-Odd: 1", "servers/\xC3\xA9", "servers/a\tb",
+                                "servers/\x7F", "servers/", "servers"}) {
+    BOOST_TEST(!is_read_with_key(key), key);
+  }
+}
+
+// Guards against calls to, and sums over, figures that no server has.
+BOOST_AUTO_TEST_CASE(entry_with_a_number_or_an_address_out_of_range_names_no_server) {
+  const auto is_read_with = [](const std::string& before, const std::string& after) {
+    std::string value = server_text;
+    value.replace(value.find(before), before.size(), after);
+    return is_read(value);
+  };
+  BOOST_TEST(is_read_with("\"Slots\": 4", "\"Slots\": 100000"));
+  BOOST_TEST(is_read_with("\"born\": 1000", "\"born\": 1764900000000"));
+  for (const char* const slots :
+       {"0", "-1", "1.5", "100001", "2147483647", "1e300", "1e999", "99999999999999999999", "\"4\""}) {
+    BOOST_TEST(!is_read_with("\"Slots\": 4", std::string("\"Slots\": ") + slots), slots);
+  }
+  for (const char* const born : {"-1", "1.5", "1e300", "1e999", "\"soon\"", "null", "{}"}) {
+    BOOST_TEST(!is_read_with("\"born\": 1000", std::string("\"born\": ") + born), born);
+  }
+  for (const char* const address :
+       {"10.1.0.1:0", "10.1.0.1:65536", "10.1.0.1:-1", "10.1.0.1:99999999999999999999", "0.0.0.0:8341",
+        "255.255.255.255:8341", "224.0.0.1:8341", "[::]:8341", "[ff02::1]:8341", "10.1.0.1"}) {
+    BOOST_TEST(!is_read_with("10.1.0.1:8341", address), address);
+  }
+  BOOST_TEST(is_read_with("10.1.0.1:8341", "[::1]:8341"));
+}
+
 BOOST_AUTO_TEST_CASE(request_headers_are_read_and_replaced) {
   const http_dialect dialect;
   const node::caller_fields caller =
