Send no request over a connection that carried its refusal before

A server wrote an earlier refusal once more on a kept connection.

Cause: the attempt id identifies an answer, but an attempt that is sent again to the same server after a refusal has the same id, and went over the connection that had just carried the refusal. The repeated refusal can't be told from the answer to the second send.

A connection now remembers the ids of the requests that it answered with an error status, and carries none of them again: another idle connection or a new one takes the request. A connection that remembers 64 of them is closed, which bounds the memory and costs at most one new connection for 64 refusals. Not reusing connections after any refusal was rejected: it costs a new connection for each one, when the server is full.

--- a/nutmegarch/http/client_pool.cpp
+++ b/nutmegarch/http/client_pool.cpp
@@ -18,6 +18,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "nutmegarch/core/hash.h"
 #include "nutmegarch/http/conversion.h"
 #include "nutmegarch/http/socket_options.h"
 
@@ -40,9 +41,20 @@
 /// Largest single read, in bytes, while the head of an answer is incomplete.
 constexpr std::size_t max_head_read_bytes = 2U << 10U;
 
+/// A connection that has carried this many failures is closed, so that the memory for their ids is bounded.
+constexpr std::size_t max_remembered_failures = 64;
+
+/// What a connection has carried that a faulty server may repeat on it.
+struct connection_history {
+  /// Hashes of the echoed values of the requests that were answered with an error status. A request with one
+  /// of these values must not use the connection, because a repeated answer could not be told from its own.
+  std::vector<std::uint64_t> failed_ids;
+};
+
 /// A pooled connection with no exchange in progress.
 struct idle_connection {
   stream_ptr stream;
+  connection_history history;
   /// The server may close the connection from this time on.
   std::chrono::steady_clock::time_point expiry;
 };
@@ -61,6 +73,13 @@
   return now < idle.expiry && is_open_without_input(idle.stream->socket());
 }
 
+/// Hash of the value that the server has to copy into its answer; empty if there is none.
+std::optional<std::uint64_t> id_of(const request_message& request, const client_settings& settings) {
+  const std::string sent =
+      settings.echoed_field.empty() ? std::string() : find_header(request.fields, settings.echoed_field);
+  return sent.empty() ? std::nullopt : std::optional<std::uint64_t>(hash_text(sent));
+}
+
 /// The "timeout" parameter of an answer's Keep-Alive field; empty if it has none.
 std::optional<duration> keep_alive_timeout_of(const beast_response& answer) {
   constexpr std::string_view name = "timeout=";
@@ -94,11 +113,14 @@
   using completion_handler =
       std::function<void(exchange&, result<answer_message, client_error>, bool reusable)>;
 
-  exchange(std::uint64_t request_id, stream_ptr stream, beast_request request,
-           const client_settings& settings, std::shared_ptr<answer_size_listener> listener,
-           completion_handler done)
+  /// `id` is the hash of the request's echoed value, if it has one.
+  exchange(std::uint64_t request_id, idle_connection connection, std::optional<std::uint64_t> id,
+           beast_request request, const client_settings& settings,
+           std::shared_ptr<answer_size_listener> listener, completion_handler done)
       : request_id_(request_id),
-        stream_(std::move(stream)),
+        stream_(std::move(connection.stream)),
+        history_(std::move(connection.history)),
+        id_(id),
         executor_(stream_->get_executor()),
         request_(std::move(request)),
         settings_(settings),
@@ -141,6 +163,8 @@
 
   /// Transfers ownership of the stream. Only the completion handler may call it.
   stream_ptr take_stream() { return std::move(stream_); }
+  /// What the connection has carried. Only the completion handler may call it.
+  connection_history take_history() { return std::move(history_); }
   /// How long the server keeps the connection open without a request.
   duration idle_timeout() const { return idle_timeout_; }
 
@@ -280,8 +304,11 @@
       complete(client_error::malformed, false);
       return;
     }
-    const bool reusable =
-        is_delimited && parser_->keep_alive() && buffer_.size() == 0 && is_written_ && !is_out_of_sync_;
+    if (id_ && answer.result_int() >= first_error_status) {
+      history_.failed_ids.push_back(*id_);
+    }
+    const bool reusable = is_delimited && parser_->keep_alive() && buffer_.size() == 0 && is_written_ &&
+                          !is_out_of_sync_ && history_.failed_ids.size() < max_remembered_failures;
     idle_timeout_ = std::min(idle_timeout_, keep_alive_timeout_of(answer).value_or(idle_timeout_));
     complete(from_beast(parser_->release()), reusable);
   }
@@ -330,6 +357,8 @@
   std::uint64_t request_id_;
   /// Null once the exchange has ended.
   stream_ptr stream_;
+  connection_history history_;
+  std::optional<std::uint64_t> id_;
   /// Kept separately because cancel() and abort_over_budget() may be called when the stream is gone.
   beast::tcp_stream::executor_type executor_;
   beast_request request_;
@@ -380,7 +409,8 @@
   }
 
   std::uint64_t send(const request_message& request, duration timeout, callback done) {
-    stream_ptr stream;
+    const std::optional<std::uint64_t> id = id_of(request, settings_);
+    idle_connection taken;
     std::uint64_t request_id = 0;
     {
       const std::lock_guard<std::mutex> lock(mutex_);
@@ -389,14 +419,14 @@
         asio::post(workers_, [done = std::move(done)]() { done(client_error::unreachable); });
         return request_id;
       }
-      stream = take_idle_connection();
+      taken = take_idle_connection(id);
     }
-    const bool is_connected = stream != nullptr;
+    const bool is_connected = taken.stream != nullptr;
     if (!is_connected) {
-      stream = std::make_unique<beast::tcp_stream>(asio::make_strand(workers_));
+      taken.stream = std::make_unique<beast::tcp_stream>(asio::make_strand(workers_));
     }
     const std::shared_ptr<exchange> created = std::make_shared<exchange>(
-        request_id, std::move(stream), to_beast(request, default_host_), settings_, shared_from_this(),
+        request_id, std::move(taken), id, to_beast(request, default_host_), settings_, shared_from_this(),
         [self = shared_from_this(), request_id, done = std::move(done)](
             exchange& ended, result<answer_message, client_error> outcome, bool reusable) {
           self->finish_exchange(request_id, ended, reusable);
@@ -434,7 +464,7 @@
           if (!error) {
             set_connection_options(stream->socket());
             const std::lock_guard<std::mutex> lock(self->mutex_);
-            self->store_idle_connection(std::make_unique<beast::tcp_stream>(std::move(*stream)),
+            self->store_idle_connection(std::make_unique<beast::tcp_stream>(std::move(*stream)), {},
                                         self->settings_.idle_timeout);
           }
           done(!error);
@@ -479,18 +509,22 @@
   }
 
  private:
-  /// The most recently used idle connection that is usable; null if there is none. The caller holds the
-  /// mutex.
-  stream_ptr take_idle_connection() {
+  /// The most recently used idle connection that is usable for a request with the given id; has no stream if
+  /// there is none. The caller holds the mutex.
+  idle_connection take_idle_connection(const std::optional<std::uint64_t>& id) {
     const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
-    while (!idle_connections_.empty()) {
-      idle_connection newest = std::move(idle_connections_.back());
-      idle_connections_.pop_back();
+    for (std::size_t i = idle_connections_.size(); i-- > 0;) {
+      const std::vector<std::uint64_t>& failed = idle_connections_.at(i).history.failed_ids;
+      if (id && std::find(failed.begin(), failed.end(), *id) != failed.end()) {
+        continue;
+      }
+      idle_connection newest = std::move(idle_connections_.at(i));
+      idle_connections_.erase(idle_connections_.begin() + static_cast<std::ptrdiff_t>(i));
       if (is_usable(newest, now)) {
-        return std::move(newest.stream);
+        return newest;
       }
     }
-    return nullptr;
+    return {};
   }
 
   void finish_exchange(std::uint64_t request_id, exchange& ended, bool reusable) {
@@ -499,7 +533,7 @@
     exchanges_.erase(request_id);
     unfinished_answers_.release(request_id);
     if (reusable) {
-      store_idle_connection(std::move(stream), ended.idle_timeout());
+      store_idle_connection(std::move(stream), ended.take_history(), ended.idle_timeout());
     } else {
       stream->close();
     }
@@ -507,7 +541,7 @@
 
   /// Adds the connection to the idle ones, or closes it if there are max_idle_connections. The caller holds
   /// the mutex.
-  void store_idle_connection(stream_ptr stream, duration idle_timeout) {
+  void store_idle_connection(stream_ptr stream, connection_history history, duration idle_timeout) {
     if (static_cast<int>(idle_connections_.size()) >= settings_.max_idle_connections) {
       stream->close();
       return;
@@ -515,7 +549,8 @@
     stream->expires_never();
     // The server started its idle timer earlier, when it wrote the answer.
     const duration allowed = idle_timeout - std::min(idle_timeout / 5, idle_timeout_margin);
-    idle_connections_.push_back({std::move(stream), std::chrono::steady_clock::now() + allowed});
+    idle_connections_.push_back(
+        {std::move(stream), std::move(history), std::chrono::steady_clock::now() + allowed});
   }
 
   asio::io_context& workers_;
--- a/nutmegarch/http/client_pool.h
+++ b/nutmegarch/http/client_pool.h
@@ -54,7 +54,7 @@
   duration idle_timeout = std::chrono::seconds(60);
   /// Name of a header field that the server copies from a request into its answer; empty if there is none. An
   /// answer with another value belongs to an earlier request: it is discarded, and its connection is not
-  /// reused.
+  /// reused. A request is not sent over a connection that has carried a failure of a request with its value.
   std::string echoed_field;
   /// Accepts answers whose body ends with the connection (RFC 9112, 6.3); otherwise they are malformed.
   bool allow_close_delimited = false;
--- a/unit_tests/http/cut_answer_test.cpp
+++ b/unit_tests/http/cut_answer_test.cpp
@@ -21,16 +21,17 @@
 };
 
 std::vector<tested_answer> tested_answers() {
+  const std::string chunked_head = "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n";
   const std::vector<std::string> delimited = {
       "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Signature: s.1\r\nContent-Length: 12\r\n\r\nabcdefghijkl",
       "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nKeep-Alive: timeout=5\r\nX-Id: a\r\n\r\nabcdefghijkl",
-      "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n"
-      "a;x=y\r\nabcdefghij\r\n1\r\nk\r\n0\r\nX-T: t\r\n\r\n",
+      chunked_head + "a;x=y\r\nabcdefghij\r\n1\r\nk\r\n0\r\nX-T: t\r\n\r\n",
       "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Signature: s.1\r\nContent-Length: 0\r\n\r\n",
       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 4\r\n\r\nbody",
       "HTTP/1.1 503 Busy\r\nX-Id: a\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nbusy",
       "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n"};
   std::vector<tested_answer> all;
+  all.reserve(delimited.size() + 1);
   for (const std::string& text : delimited) {
     all.push_back({text, text.size()});
   }
--- a/unit_tests/http/stale_refusal_test.cpp
+++ b/unit_tests/http/stale_refusal_test.cpp
@@ -115,15 +115,17 @@
   BOOST_TEST(peer.connection_count() == 2);
 }
 
-BOOST_AUTO_TEST_CASE(refusals_of_different_requests_share_a_connection) {
+BOOST_AUTO_TEST_CASE(up_to_64_refusals_of_different_requests_share_a_connection) {
   const scripted_peer peer([](int, int, const scripted_peer::request_type& content) {
     return scripted_reply{refusal_of(std::string(content["X-Id"]))};
   });
   sequential_client client(peer);
-  for (int i = 0; i < 32; ++i) {
+  for (int i = 0; i < 64; ++i) {
     BOOST_TEST(client.send("a" + std::to_string(i)) == 503);
   }
   BOOST_TEST(peer.connection_count() == 1);
+  BOOST_TEST(client.send("b") == 503);
+  BOOST_TEST(peer.connection_count() == 2);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
