Believe an error without the request's id only as a connection's first

Cause: an error answer without the attempt id was taken for the answer to the request in progress. On a kept connection it may be an earlier refusal that the server wrote once more; the outcome was then not run, and the request went to another server.

Such an answer is now accepted only if no other answer came before it on its connection. Elsewhere the exchange fails as malformed, its outcome is unknown (502, no second send of a request that isn't idempotent), and the connection is closed. Servers echo the id, so sound ones lose nothing.

--- a/nutmegarch/http/client_pool.cpp
+++ b/nutmegarch/http/client_pool.cpp
@@ -44,8 +44,17 @@
 /// A connection that has carried this many failures is closed, so that the memory for their ids is bounded.
 constexpr std::size_t max_remembered_failures = 64;
 
+/// Which request an answer belongs to.
+enum class answer_owner : std::uint8_t {
+  this_request,
+  earlier_request,
+  /// The answer does not say, and may be one to an earlier request.
+  unclear
+};
+
 /// What a connection has carried that a faulty server may repeat on it.
 struct connection_history {
+  bool has_answered = false;
   /// Hashes of the echoed values of the requests that were answered with an error status. A request with one
   /// of these values must not use the connection, because a repeated answer could not be told from its own.
   std::vector<std::uint64_t> failed_ids;
@@ -284,7 +293,8 @@
       return false;
     }
     const beast_response& answer = parser_->get();
-    return !is_for_this_request(answer) || (!settings_.allow_close_delimited && !answer.body().empty());
+    return owner_of(answer) != answer_owner::this_request ||
+           (!settings_.allow_close_delimited && !answer.body().empty());
   }
 
   void on_answer() {
@@ -293,10 +303,16 @@
       read_next_answer(meter_.on_interim_answer());
       return;
     }
-    if (!is_for_this_request(answer)) {
-      is_out_of_sync_ = true;
-      read_next_answer(meter_.on_stale_answer());
-      return;
+    switch (owner_of(answer)) {
+      case answer_owner::this_request:
+        break;
+      case answer_owner::earlier_request:
+        is_out_of_sync_ = true;
+        read_next_answer(meter_.on_stale_answer());
+        return;
+      case answer_owner::unclear:
+        complete(client_error::malformed, false);
+        return;
     }
     // Without chunked encoding or Content-Length, only an orderly close shows that the answer is complete.
     const bool is_delimited = parser_->chunked() || parser_->content_length() || answer.body().empty();
@@ -307,6 +323,7 @@
     if (id_ && answer.result_int() >= first_error_status) {
       history_.failed_ids.push_back(*id_);
     }
+    history_.has_answered = true;
     const bool reusable = is_delimited && parser_->keep_alive() && buffer_.size() == 0 && is_written_ &&
                           !is_out_of_sync_ && history_.failed_ids.size() < max_remembered_failures;
     idle_timeout_ = std::min(idle_timeout_, keep_alive_timeout_of(answer).value_or(idle_timeout_));
@@ -322,13 +339,19 @@
   }
 
   /// An error answer may lack the echoed field, since the server may send it without having read the request.
-  bool is_for_this_request(const beast_response& answer) const {
+  /// On a connection that has carried another answer, it may also be a repetition of that one.
+  answer_owner owner_of(const beast_response& answer) const {
     if (settings_.echoed_field.empty()) {
-      return true;
+      return answer_owner::this_request;
     }
     const beast::string_view sent = request_[settings_.echoed_field];
     const beast::string_view echoed = answer[settings_.echoed_field];
-    return sent == echoed || (echoed.empty() && answer.result_int() >= first_error_status);
+    const bool may_lack_field = sent.empty() || answer.result_int() >= first_error_status;
+    if (echoed.empty() && may_lack_field) {
+      const bool is_first = !history_.has_answered && !is_out_of_sync_;
+      return is_first ? answer_owner::this_request : answer_owner::unclear;
+    }
+    return sent == echoed ? answer_owner::this_request : answer_owner::earlier_request;
   }
 
   static client_error error_of(beast::error_code error) {
--- a/nutmegarch/http/client_pool.h
+++ b/nutmegarch/http/client_pool.h
@@ -27,7 +27,7 @@
   /// The body of the answer exceeds client_settings::max_body_bytes.
   too_large,
   /// The answer is not valid HTTP, exceeds client_settings::answer_limits, or can't be told from a truncated
-  /// one.
+  /// one or from one to an earlier request.
   malformed,
   /// The unfinished answers of the pool exceeded their byte budget, and this one was chosen to be aborted.
   over_budget
@@ -55,6 +55,7 @@
   /// Name of a header field that the server copies from a request into its answer; empty if there is none. An
   /// answer with another value belongs to an earlier request: it is discarded, and its connection is not
   /// reused. A request is not sent over a connection that has carried a failure of a request with its value.
+  /// An error without the field is accepted only if it is the first answer on its connection.
   std::string echoed_field;
   /// Accepts answers whose body ends with the connection (RFC 9112, 6.3); otherwise they are malformed.
   bool allow_close_delimited = false;
