Red test: calls to a peer that takes nothing queue without bound

What waits to be written to a peer has no bound in bytes: a node copies each call into the queue of the connection until pings find it dead, a second later, or for as long as a slow link lasts. 48 calls of 2 MB are all queued.

The test fails: check queued_bytes <= most_bytes has failed [ >].

--- a/unit_tests/protocol/peer_network_test.cpp
+++ b/unit_tests/protocol/peer_network_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cmath>
 #include <future>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -169,6 +170,35 @@
   BOOST_TEST((cancellation == std::future_status::ready));
 }
 
+BOOST_FIXTURE_TEST_CASE(calls_to_a_peer_that_takes_nothing_do_not_queue_without_bound, two_networks) {
+  // The kernel accepts the connection into the listen queue; nothing reads from it.
+  boost::asio::io_context context;
+  const boost::asio::ip::tcp::acceptor silent(
+      context, boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  const std::string to = "127.0.0.1:" + std::to_string(silent.local_endpoint().port());
+  constexpr std::size_t body_bytes = 2U << 20U;
+  constexpr int call_count = 48;
+  // The default of the queues of all peers together, and as much again for socket buffers.
+  constexpr std::size_t most_bytes = 48U << 20U;
+  peer_call large = make_call("GET /a");
+  large.request = std::make_shared<const request_message>(
+      request_message{"POST", "/a", {}, std::string(body_bytes, 'a')});
+  std::vector<std::promise<result<peer_answer, peer_error>>> ended(call_count);
+  for (std::promise<result<peer_answer, peer_error>>& each : ended) {
+    client.call(to, large,
+                [&each](const result<peer_answer, peer_error>& outcome) { each.set_value(outcome); });
+  }
+  // Other peers are not affected.
+  BOOST_TEST(succeeded(call(address, "GET /a")));
+  std::size_t queued_bytes = 0;
+  for (std::promise<result<peer_answer, peer_error>>& each : ended) {
+    const result<peer_answer, peer_error> outcome = each.get_future().get();
+    BOOST_REQUIRE(!succeeded(outcome));
+    queued_bytes += std::get<peer_error>(outcome) == peer_error::lost ? body_bytes : 0;
+  }
+  BOOST_TEST(queued_bytes <= most_bytes);
+}
+
 BOOST_FIXTURE_TEST_CASE(exchange_carries_digests_documents_and_marks, two_networks) {
   peer_exchange offer;
   offer.self = {"host", 5, true};
