--- a/unit_tests/platform/platform_path_test.cpp
+++ b/unit_tests/platform/platform_path_test.cpp
@@ -58,9 +58,11 @@
       held_answers_.push_back(std::move(answer));
       return;
     }
-    answer({200,
-            {{"Nutmegarch-Attempt-Id", id}, {"Nutmegarch-Response-Signature", "s"}},
-            instance_ + ' ' + request.target + ' ' + request.body});
+    headers fields = {{"Nutmegarch-Attempt-Id", id}, {"Nutmegarch-Response-Signature", "s"}};
+    if (!named_limit_.empty()) {
+      fields.push_back({"Server-Limit", named_limit_});
+    }
+    answer({200, fields, instance_ + ' ' + request.target + ' ' + request.body});
   }
 
   void set_instance(const std::string& instance) {
@@ -75,6 +77,11 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     is_holding_ = is_holding;
   }
+  /// Value of the field `Server-Limit` in further answers; empty for none.
+  void set_named_limit(const std::string& limit) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    named_limit_ = limit;
+  }
   int runs() const {
     const std::lock_guard<std::mutex> lock(mutex_);
     return runs_;
@@ -87,6 +94,7 @@
  private:
   mutable std::mutex mutex_;
   std::string instance_;
+  std::string named_limit_;
   request_message last_request_;
   std::vector<answer_callback> held_answers_;
   int runs_ = 0;
@@ -262,6 +270,34 @@
   int initial_runs_ = 0;
 };
 
+/// Callers that send requests to both hosts of a platform without a pause, until their end.
+class steady_callers {
+ public:
+  explicit steady_callers(small_platform& platform) {
+    for (std::size_t i = 0; i < caller_count; ++i) {
+      threads_.emplace_back([this, &platform, i]() {
+        while (!is_ended_) {
+          platform.send_request(i % 2, "GET", "/look/1");
+        }
+      });
+    }
+  }
+  steady_callers(const steady_callers&) = delete;
+  steady_callers& operator=(const steady_callers&) = delete;
+  ~steady_callers() {
+    is_ended_ = true;
+    for (std::thread& thread : threads_) {
+      thread.join();
+    }
+  }
+
+ private:
+  static constexpr std::size_t caller_count = 6;
+
+  std::atomic<bool> is_ended_{false};
+  std::vector<std::thread> threads_;
+};
+
 /// A fleet with many more hosts and rare gossip, so that two given nodes rarely exchange by chance.
 struct large_platform : small_platform {
   large_platform() : small_platform(std::chrono::minutes(1)) {
@@ -362,6 +398,38 @@
   BOOST_TEST(metrics(1).find("nutmegarch_unfinished_answer_bytes 0") != std::string::npos);
 }
 
+// Guards against requests beyond the rate that a server in need names in its answers.
+BOOST_FIXTURE_TEST_CASE(server_that_names_a_limit_receives_requests_at_this_rate_until_it_names_none,
+                        small_platform) {
+  constexpr double limit = 40;
+  constexpr std::chrono::milliseconds window{2'000};
+  const steady_callers callers(*this);
+  for (const std::unique_ptr<fake_server>& server : servers) {
+    server->set_named_limit("40.0");
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  const std::array<int, 2> before = {servers.at(0)->runs(), servers.at(1)->runs()};
+  std::this_thread::sleep_for(window);
+  for (std::size_t i = 0; i < servers.size(); ++i) {
+    const double seconds = std::chrono::duration<double>(window).count();
+    const int arrivals = servers.at(i)->runs() - before.at(i);
+    BOOST_TEST(arrivals <= 1.5 * limit * seconds + 5);
+    BOOST_TEST(arrivals >= 0.5 * limit * seconds);
+  }
+
+  for (const std::unique_ptr<fake_server>& server : servers) {
+    server->set_named_limit("");
+  }
+  constexpr std::chrono::milliseconds unlimited_window{500};
+  const double most_at_limit =
+      2 * (1.5 * limit * std::chrono::duration<double>(unlimited_window).count() + 5);
+  BOOST_TEST(wait_for([&]() {
+    const int runs_before = runs();
+    std::this_thread::sleep_for(unlimited_window);
+    return runs() - runs_before > most_at_limit;
+  }));
+}
+
 BOOST_FIXTURE_TEST_CASE(draining_server_receives_no_requests, small_platform) {
   register_server("i-0", 0, "draining");
   BOOST_REQUIRE(wait_for([&]() {
