Test that a server that says in its answers that it leaves receives no more requests

Red: nothing reads the header Server-Leaving, so a server whose entry in the store still says ready goes on receiving requests from all nodes after its answers have said that it leaves. Seen over HTTP with two nodes: check servers[0]->arrivals() == before has failed [17 != 2] and, after the node beside the server was restarted, [10 != 3].

--- a/unit_tests/platform/platform_path_test.cpp
+++ b/unit_tests/platform/platform_path_test.cpp
@@ -48,8 +48,14 @@
       answer({421, {{"Nutmegarch-Instance-Id", instance_}}, ""});
       return;
     }
+    ++arrivals_;
+    headers fields = {{"Nutmegarch-Attempt-Id", id}};
+    if (is_leaving_) {
+      fields.push_back({"Server-Leaving", "1"});
+    }
     if (is_refusing_) {
-      answer({503, {{"Nutmegarch-Not-Executed", "1"}, {"Nutmegarch-Attempt-Id", id}}, ""});
+      fields.push_back({"Nutmegarch-Not-Executed", "1"});
+      answer({503, fields, ""});
       return;
     }
     ++runs_;
@@ -58,9 +64,8 @@
       held_answers_.push_back(std::move(answer));
       return;
     }
-    answer({200,
-            {{"Nutmegarch-Attempt-Id", id}, {"Nutmegarch-Response-Signature", "s"}},
-            instance_ + ' ' + request.target + ' ' + request.body});
+    fields.push_back({"Nutmegarch-Response-Signature", "s"});
+    answer({200, fields, instance_ + ' ' + request.target + ' ' + request.body});
   }
 
   void set_instance(const std::string& instance) {
@@ -71,6 +76,11 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     is_refusing_ = is_refusing;
   }
+  /// From now on the answers say that the server is leaving.
+  void set_leaving(bool is_leaving) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    is_leaving_ = is_leaving;
+  }
   void set_holding(bool is_holding) {
     const std::lock_guard<std::mutex> lock(mutex_);
     is_holding_ = is_holding;
@@ -79,6 +89,11 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     return runs_;
   }
+  /// Requests for this instance, including those that it refused.
+  int arrivals() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return arrivals_;
+  }
   request_message last_request() const {
     const std::lock_guard<std::mutex> lock(mutex_);
     return last_request_;
@@ -90,7 +105,9 @@
   request_message last_request_;
   std::vector<answer_callback> held_answers_;
   int runs_ = 0;
+  int arrivals_ = 0;
   bool is_refusing_ = false;
+  bool is_leaving_ = false;
   bool is_holding_ = false;
 };
 
@@ -167,6 +184,17 @@
                                          std::to_string(process_started_ms) + "}");
   }
 
+  /// Waits until the nodes have applied all that was written to the store before.
+  void wait_until_applied(const std::vector<std::size_t>& indices) {
+    const std::string name = "mark" + std::to_string(++last_version_);
+    publish(last_version_, {route_json("look", "/look/", "shop", "idempotent"),
+                            route_json("buy", "/buy/", "shop", "non_idempotent"),
+                            route_json(name, '/' + name + '/', "shop", "idempotent")});
+    for (const std::size_t index : indices) {
+      BOOST_REQUIRE(wait_for([&]() { return send_request(index, "GET", '/' + name + '/').status == 200; }));
+    }
+  }
+
   void start_node(std::size_t index, bool knows_seeds = true) {
     node::node_settings settings;
     settings.identity = {"shop", ip_of(peer_addresses_.at(index)), "z", "r", {}, 1};
@@ -232,6 +260,16 @@
   int runs() const { return servers.at(0)->runs() + servers.at(1)->runs(); }
   int new_runs() const { return runs() - initial_runs_; }
 
+  void check_that_requests_reach_server_0(const std::vector<std::size_t>& indices) {
+    for (const std::size_t index : indices) {
+      const int before = servers[0]->runs();
+      BOOST_TEST(wait_for([&]() {
+        BOOST_TEST(send_request(index, "GET", "/look/1").status == 200);
+        return servers[0]->runs() > before;
+      }));
+    }
+  }
+
   stand_ins::store_stand_in store;
   std::array<std::unique_ptr<fake_server>, 2> servers = {std::make_unique<fake_server>("i-0"),
                                                          std::make_unique<fake_server>("i-1")};
@@ -260,6 +298,37 @@
   std::unique_ptr<http::endless_peer> endless_peer_;
   std::thread thread_;
   int initial_runs_ = 0;
+  int last_version_ = 1;
+};
+
+/// Server 0 has said in an answer that node 1 passed on that it leaves. Its entry in the store still says
+/// ready.
+struct platform_with_leaving_server : small_platform {
+  platform_with_leaving_server() {
+    servers[0]->set_leaving(true);
+    servers[1]->set_refusing(true);
+    BOOST_REQUIRE(find_header(send_request(1, "GET", "/look/1").fields, "Server-Leaving") == "1");
+    servers[1]->set_refusing(false);
+  }
+
+  /// Sends requests of both kinds and checks that server 1 has run all of them, and that none reaches server
+  /// 0 even while server 1 refuses.
+  void check_that_no_request_reaches_server_0(const std::vector<std::size_t>& indices) {
+    const int before = servers[0]->arrivals();
+    for (const std::size_t index : indices) {
+      for (int i = 0; i < 5; ++i) {
+        BOOST_TEST(send_request(index, "GET", "/look/2").body.find("i-1") == 0U);
+        BOOST_TEST(send_request(index, "POST", "/buy/2").body.find("i-1") == 0U);
+      }
+    }
+    servers[1]->set_refusing(true);
+    for (const std::size_t index : indices) {
+      BOOST_TEST(send_request(index, "GET", "/look/3").status == 503);
+      BOOST_TEST(send_request(index, "POST", "/buy/3").status == 503);
+    }
+    servers[1]->set_refusing(false);
+    BOOST_TEST(servers[0]->arrivals() == before);
+  }
 };
 
 /// A fleet with many more hosts and rare gossip, so that two given nodes rarely exchange by chance.
@@ -373,6 +442,68 @@
   }));
 }
 
+BOOST_FIXTURE_TEST_CASE(server_that_says_in_its_answers_that_it_leaves_receives_no_more_requests,
+                        platform_with_leaving_server) {
+  check_that_no_request_reaches_server_0({0, 1});
+}
+
+BOOST_FIXTURE_TEST_CASE(server_that_says_that_it_leaves_is_not_used_again_after_its_entry_says_ready,
+                        platform_with_leaving_server) {
+  register_server("i-0", 0);
+  wait_until_applied({0, 1});
+  check_that_no_request_reaches_server_0({0, 1});
+}
+
+BOOST_FIXTURE_TEST_CASE(server_that_says_that_it_leaves_is_not_used_again_after_the_endpoints_changed,
+                        platform_with_leaving_server) {
+  store.remove("servers/i-0");
+  wait_until_applied({0, 1});
+  register_server("i-0", 0);
+  wait_until_applied({0, 1});
+  check_that_no_request_reaches_server_0({0, 1});
+}
+
+BOOST_FIXTURE_TEST_CASE(node_still_knows_that_a_server_leaves_after_the_node_beside_it_restarted,
+                        platform_with_leaving_server) {
+  nodes.erase(0);
+  start_node(0);
+  BOOST_REQUIRE(wait_for([&]() { return is_ready(0); }));
+  wait_until_applied({1});
+  check_that_no_request_reaches_server_0({1});
+}
+
+BOOST_FIXTURE_TEST_CASE(newer_process_of_an_instance_that_left_receives_requests,
+                        platform_with_leaving_server) {
+  servers[0]->set_leaving(false);
+  register_server("i-0", 0, "ready", 2000);
+  wait_until_applied({0, 1});
+  check_that_requests_reach_server_0({0, 1});
+}
+
+BOOST_FIXTURE_TEST_CASE(new_instance_at_the_address_of_one_that_left_receives_requests,
+                        platform_with_leaving_server) {
+  servers[0]->set_leaving(false);
+  servers[0]->set_instance("i-new");
+  register_server("i-new", 0, "ready", 2000);
+  wait_until_applied({0, 1});
+  check_that_requests_reach_server_0({0, 1});
+}
+
+BOOST_FIXTURE_TEST_CASE(server_whose_entry_is_removed_receives_requests_only_after_the_entry_is_back,
+                        small_platform) {
+  store.remove("servers/i-0");
+  wait_until_applied({0, 1});
+  const int before = servers[0]->arrivals();
+  servers[1]->set_refusing(true);
+  BOOST_TEST(send_request(0, "GET", "/look/1").status == 503);
+  BOOST_TEST(send_request(1, "POST", "/buy/1").status == 503);
+  BOOST_TEST(servers[0]->arrivals() == before);
+  servers[1]->set_refusing(false);
+  register_server("i-0", 0);
+  wait_until_applied({0, 1});
+  check_that_requests_reach_server_0({0, 1});
+}
+
 BOOST_FIXTURE_TEST_CASE(newer_configuration_is_applied_and_an_older_one_is_ignored, small_platform) {
   publish(5, {route_json("moved", "/moved/", "shop", "idempotent")});
   BOOST_REQUIRE(wait_for([&]() {
