Abandon a watch that has not returned a change that a peer knows

Requests reached servers whose leaving had been acknowledged over the drain time ago, and new routes were denied, by nodes whose watch was open but dead. A lost answer was noticed only when the watch timed out, up to 32 s later.

Each exchange already tells the newest change that the store has told the sender of. The reader compares it with the revision that its open watch waits after. When a peer has known a newer change for 600 ms, which is longer than a slow store takes and leaves room for the exchange within 2.5 s, the watch is abandoned and asked again at once. Until the store answers again the view is not confirmed: no route is denied, and digests fetch the documents of peers. The only calls added are those that replace a dead watch.

--- a/nutmegarch/membership/published_reader.cpp
+++ b/nutmegarch/membership/published_reader.cpp
@@ -18,6 +18,7 @@
     return {};
   }
   is_open_ = true;
+  sent_ = now;
   store_request request;
   request.request_id = ++last_request_id_;
   if (is_listing_) {
@@ -83,6 +84,29 @@
   }
 }
 
+void published_reader::on_peer_change(std::uint64_t revision, time_point now) {
+  if (peer_revision_ <= watched_revision_ && revision > watched_revision_) {
+    behind_since_ = now;
+  }
+  peer_revision_ = std::max(peer_revision_, revision);
+}
+
+bool published_reader::is_silent(time_point now) const {
+  return is_open_ && !is_listing_ && peer_revision_ > watched_revision_ &&
+         now - std::max(sent_, behind_since_) >= settings_.silence_patience;
+}
+
+void published_reader::on_silence(time_point now) {
+  if (was_silent_) {
+    on_failure(now);
+    return;
+  }
+  was_silent_ = true;
+  is_open_ = false;
+  is_current_ = false;
+  next_request_time_ = now;
+}
+
 void published_reader::on_pause() {
   is_open_ = false;
   is_current_ = false;
@@ -97,6 +121,7 @@
     state_.on_store_recovered(now);
   }
   failures_ = 0;
+  was_silent_ = false;
   is_open_ = false;
 }
 
--- a/nutmegarch/membership/published_reader.h
+++ b/nutmegarch/membership/published_reader.h
@@ -47,6 +47,10 @@
   /// Pause after the first failure. It doubles with each further one up to `longest_pause`, and is jittered.
   duration first_pause = std::chrono::milliseconds(500);
   duration longest_pause = std::chrono::seconds(4);
+  /// A watch that has not returned a change which a peer has learned from the store is abandoned after this
+  /// time. It is longer than a slow store takes for an answer, and leaves room for the exchange with the peer
+  /// within the 2.5 s after which changes must be in force.
+  duration silence_patience = std::chrono::milliseconds(600);
 };
 
 /// Decides which request to send to the platform's store, and when. It reads a listing page by page, then
@@ -77,6 +81,11 @@
   void on_history_lost(time_point now);
   /// The store did not answer or refused the request.
   void on_failure(time_point now);
+  /// A peer has learned from the store of a change of this revision.
+  void on_peer_change(std::uint64_t revision, time_point now);
+  /// The request in progress is abandoned because is_silent() is true. The next one is due at once, but after
+  /// a pause when the request before was abandoned too.
+  void on_silence(time_point now);
   /// The process was suspended. The request in progress is abandoned, and the next one is due at once.
   void on_pause();
   /// @}
@@ -87,6 +96,13 @@
   bool is_open(const store_request& request) const {
     return is_open_ && request.request_id == last_request_id_;
   }
+  /// True when the watch in progress should have returned a change that a peer knows. Its connection is dead
+  /// then, and must not be used again.
+  bool is_silent(time_point now) const;
+  /// Revision of the newest change that a peer has learned from the store.
+  std::uint64_t peer_revision() const { return peer_revision_; }
+  /// When the request in progress was sent.
+  time_point sent() const { return sent_; }
   /// Number of consecutive failures.
   int failures() const { return failures_; }
 
@@ -113,6 +129,12 @@
   /// Revision after which the next watch returns changes.
   std::uint64_t watched_revision_ = 0;
   time_point next_request_time_{};
+  time_point sent_{};
+  std::uint64_t peer_revision_ = 0;
+  /// Since when a peer has known a change that this node has not.
+  time_point behind_since_{};
+  /// True when the request before was abandoned as silent.
+  bool was_silent_ = false;
   std::size_t fleet_size_ = 1;
   int failures_ = 0;
 };
--- a/nutmegarch/membership/published_source.h
+++ b/nutmegarch/membership/published_source.h
@@ -46,9 +46,10 @@
   published_source& operator=(const published_source&) = delete;
   virtual ~published_source() = default;
 
-  /// Sends a request. `done` is called exactly once, on a worker thread.
+  /// Sends a request. `done` is called once, on a worker thread, unless drop_connections() is called before.
   virtual void send(const store_request& request, callback done) = 0;
-  /// Closes all connections, for use when they may be dead. Requests in progress fail.
+  /// Closes all connections, for use when they may be dead. The last request is abandoned when it is still in
+  /// progress.
   virtual void drop_connections() = 0;
 
   /// True for the key of the operator's configuration.
--- a/nutmegarch/node/control_path.cpp
+++ b/nutmegarch/node/control_path.cpp
@@ -414,6 +414,9 @@
   const time_point now = state_.clock.now();
   state_.endpoints.on_report(from.self);
   state_.gossip.on_update_received(now);
+  if (published_) {
+    published_->on_peer_change(from.store_revision);
+  }
   bool has_changed = false;
   for (const membership::document& offered : from.documents) {
     has_changed = (published_ ? published_->accept_document(offered)
--- a/nutmegarch/node/store_synchronizer.cpp
+++ b/nutmegarch/node/store_synchronizer.cpp
@@ -85,15 +85,20 @@
 
 void store_synchronizer::on_tick() {
   membership::store_request request;
+  bool was_silent = false;
   {
     const std::lock_guard<std::mutex> lock(state_.mutex);
     const time_point now = state_.clock.now();
     if (store_copy_.on_tick(now)) {
       apply_hosts("grace-over");
     }
+    was_silent = abandon_silent_watch(now);
     log_confirmation("silence");
     request = reader_.next(now);
   }
+  if (was_silent) {
+    source_->drop_connections();
+  }
   if (request.what == membership::store_request::kind::none) {
     return;
   }
@@ -190,6 +195,21 @@
   log_confirmation("peer");
 }
 
+bool store_synchronizer::abandon_silent_watch(time_point now) {
+  if (!reader_.is_silent(now)) {
+    return false;
+  }
+  observe::log_event(observe::log_level::warning, "watch-abandoned",
+                     {{"reason", "a peer knows a newer change"},
+                      {"revision", std::to_string(store_copy_.revision())},
+                      {"peer_revision", std::to_string(reader_.peer_revision())},
+                      {"open_ms", observe::to_milliseconds_text(now - reader_.sent())}});
+  state_.metrics.add("store_watches_abandoned");
+  reader_.on_silence(now);
+  state_.view.on_store_doubtful();
+  return true;
+}
+
 void store_synchronizer::log_confirmation(const char* source) {
   const time_point now = state_.clock.now();
   const bool is_confirmed = state_.view.is_confirmed(now);
--- a/nutmegarch/node/store_synchronizer.h
+++ b/nutmegarch/node/store_synchronizer.h
@@ -36,6 +36,8 @@
   std::uint64_t confirmed_revision() const {
     return state_.view.is_confirmed_by_store() ? newest_change_ : 0;
   }
+  /// A peer has learned from the store of a change of this revision. Requires the state's lock.
+  void on_peer_change(std::uint64_t revision) { reader_.on_peer_change(revision, state_.clock.now()); }
   /// A peer has sent all documents that this node lacks. `revision` is its confirmed_revision(). Requires the
   /// state's lock.
   void on_peer_view(std::uint64_t revision);
@@ -52,6 +54,8 @@
   /// Applies a configuration when it is newer than the one in force; returns true when it was applied.
   /// Requires the state's lock.
   bool accept_configuration(const std::string& value, std::uint64_t revision, const std::string& from);
+  /// Ends the watch in progress when it is silent; true when it was. Requires the state's lock.
+  bool abandon_silent_watch(time_point now);
   /// Logs when the view becomes confirmed or ceases to be. Requires the state's lock.
   void log_confirmation(const char* source);
   void log_changed_routes(const routes::route_configuration& next) const;
--- a/unit_tests/membership/published_state_test.cpp
+++ b/unit_tests/membership/published_state_test.cpp
@@ -159,6 +159,64 @@
   BOOST_TEST(state.items().empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(watch_that_did_not_return_a_change_that_a_peer_knows_is_abandoned, fixture) {
+  const duration patience = published_reader_settings{}.silence_patience;
+  reader.next(start);
+  reader.on_page({entry("a", 3)}, "", 5, start);
+  const store_request watch = reader.next(start);
+  reader.on_peer_change(5, start);
+  BOOST_TEST(!reader.is_silent(start + std::chrono::hours(1)));
+
+  const time_point told = start + std::chrono::seconds(8);
+  reader.on_peer_change(6, told);
+  // Further changes do not extend the time.
+  reader.on_peer_change(7, told + patience / 2);
+  BOOST_TEST(!reader.is_silent(told + patience - std::chrono::milliseconds(1)));
+  BOOST_TEST(reader.is_silent(told + patience));
+  reader.on_silence(told + patience);
+  BOOST_TEST(!reader.is_open(watch));
+  BOOST_TEST(!reader.is_current());
+  BOOST_TEST(reader.failures() == 0);
+  const store_request again = reader.next(told + patience);
+  BOOST_TEST((again.what == store_request::kind::watch));
+  BOOST_TEST(again.revision == 5U);
+  BOOST_TEST((again.wait < std::chrono::seconds(1)));
+  reader.on_changes({entry("a", 7)}, 7, told + patience);
+  BOOST_TEST(reader.is_current());
+  BOOST_TEST(!reader.is_silent(told + std::chrono::hours(1)));
+}
+
+// A store that answers nobody must not be asked more often because peers know more.
+BOOST_FIXTURE_TEST_CASE(silence_after_silence_is_a_failure_with_a_pause, fixture) {
+  reader.next(start);
+  reader.on_page({entry("a", 3)}, "", 5, start);
+  reader.on_peer_change(6, start);
+  int calls = 0;
+  for (duration passed{}; passed < std::chrono::seconds(30); passed += std::chrono::milliseconds(10)) {
+    const time_point now = start + passed;
+    if (reader.is_silent(now)) {
+      reader.on_silence(now);
+    }
+    calls += reader.next(now).what == store_request::kind::none ? 0 : 1;
+  }
+  BOOST_TEST(calls >= 5);
+  BOOST_TEST(calls <= 16);
+  BOOST_TEST(reader.failures() > 0);
+}
+
+// While a node gathers changes it has no watch open, and being behind its peers means nothing.
+BOOST_FIXTURE_TEST_CASE(watch_that_has_just_begun_is_not_silent, fixture) {
+  const duration patience = published_reader_settings{}.silence_patience;
+  reader.next(start);
+  reader.on_page({entry("a", 3)}, "", 5, start);
+  reader.on_peer_change(6, start);
+  const time_point later = start + std::chrono::seconds(1);
+  BOOST_TEST(!reader.is_silent(later));
+  reader.next(later);
+  BOOST_TEST(!reader.is_silent(later + patience - std::chrono::milliseconds(1)));
+  BOOST_TEST(reader.is_silent(later + patience));
+}
+
 // Guards against a loss of all answers at once: the store answered the watches of all nodes with a change,
 // the answers were lost, and nobody asked again for 30 s.
 BOOST_AUTO_TEST_CASE(some_watch_of_a_fleet_ends_soon_after_all_began_at_the_same_time) {
