Send a target no more requests than the rate that it names

Callers saw servers in need keep refusing and slowing down: a server that named 34 requests/s in its answers got 380 in 4 s, where 209 were allowed. No code read the field.

The node beside the server, which all calls to it pass, enforces the whole limit: request_rate_limiter is a token bucket of which each call that is sent takes a token; waiting calls start most important first. Queue capacity, standing queue and load follow the slots that the target can use at its rate, so the level sheds and senders choose other targets. A call that can not start in time is refused with the new reason target-limit and goes to another target at once. The limit ends with the first complete answer without it to a call that was sent after the last answer that named it.

A restarted node has forgotten the limit, so answers between nodes carry it with its age, and calls carry what their sender has learned. A node without an answer of its target since its start takes the freshest of these over.

Each change is logged as target-limit; the gauge target_rate_limit shows the rate in force.

--- a/nutmegarch/core/call.cpp
+++ b/nutmegarch/core/call.cpp
@@ -39,7 +39,7 @@
       "quarantined",    "connection-lost", "cancelled",     "ticket-required", "ticket-foreign",
       "ticket-expired", "ticket-sealed",   "registry-full", "revalidating",    "target-error",
       "too-large",      "not-configured",  "no-route",      "malformed",       "target-refused",
-      "other-instance"};
+      "other-instance", "target-limit"};
   return names.at(static_cast<std::size_t>(reason));
 }
 
--- a/nutmegarch/core/call.h
+++ b/nutmegarch/core/call.h
@@ -61,11 +61,13 @@
   /// The target rejected the call before running it.
   target_refused,
   /// The process at the address is not the target instance that the call is for.
-  other_instance
+  other_instance,
+  /// The target takes only a limited rate of requests, and the call would have to wait too long.
+  target_limit
 };
 
 /// The last enumerator of call_reason, for range checks of received values.
-constexpr call_reason last_call_reason = call_reason::other_instance;
+constexpr call_reason last_call_reason = call_reason::target_limit;
 
 /// Identifier of a request, shared by all calls of its call chain (the W3C trace id).
 struct request_id {
@@ -85,6 +87,14 @@
   friend bool operator==(const order_ticket&, const order_ticket&) = default;
 };
 
+/// Rate of requests that a target takes from all hosts together, as it named it in an answer.
+struct target_rate {
+  /// Requests per second, above 0.
+  double per_second = 0;
+  /// Time since the target last named it.
+  duration age{};
+};
+
 /// Metadata that is sent with a call on every hop.
 struct call_context {
   request_id id;
@@ -119,6 +129,8 @@
   std::string instance;
   /// True when a target makes this call while it runs another one, which fails if this call fails.
   bool inner = false;
+  /// Rate of the target that the sender has learned from the target's answers; nullopt without one.
+  std::optional<target_rate> known_target_rate;
 };
 
 /// Threshold of importance: calls at or above `cutoff` on the scale of level_position() are rejected.
@@ -152,6 +164,8 @@
   bool leaving = false;
   /// Incarnation of the node; 0 when unknown.
   std::uint64_t incarnation = 0;
+  /// Rate that the target names; nullopt without one.
+  std::optional<target_rate> rate;
 };
 
 /// Shed rank of a request, below shed_rank_count. It is the same at every node.
--- a/nutmegarch/node/admin_api.cpp
+++ b/nutmegarch/node/admin_api.cpp
@@ -100,6 +100,8 @@
     gauges["running"] = state_.receiver.running();
     gauges["waiting"] = state_.receiver.waiting();
     gauges["limit"] = state_.receiver.limit();
+    const std::optional<target_rate> rate = state_.receiver.rate(state_.clock.now());
+    gauges["target_rate_limit"] = rate ? rate->per_second : 0;
     gauges["level_cutoff"] = state_.receiver.level().cutoff;
     gauges["outbound_open"] = static_cast<double>(outbound_.size());
     gauges["inbound_open"] = static_cast<double>(inbound_.size());
--- a/nutmegarch/node/edge_dialect.h
+++ b/nutmegarch/node/edge_dialect.h
@@ -46,6 +46,10 @@
   /// Whether another target process has taken over the address; the request was not run.
   bool is_other_instance = false;
   std::optional<target_load> load;
+  /// Requests per second that the target takes from all hosts together; nullopt when it names none.
+  std::optional<double> max_request_rate;
+  /// Whether this is a complete answer of the target that names no such rate, so that none holds any more.
+  bool names_no_rate = false;
 };
 
 /// Header fields that callers, nodes and targets of a platform exchange over HTTP. A dialect only translates
--- a/nutmegarch/node/inbound_path.cpp
+++ b/nutmegarch/node/inbound_path.cpp
@@ -48,6 +48,10 @@
     key = next_key_++;
     call_entry new_entry;
     new_entry.request = call.request;
+    if (call.context.known_target_rate) {
+      const policy::rate_change change = state_.receiver.on_peer_rate(*call.context.known_target_rate, now);
+      record_rate_change(change, std::nullopt, call.context, now);
+    }
     std::optional<protocol::peer_answer> refused = refuse_early(call, answer, new_entry, now);
     if (refused) {
       fill_report(*refused, call.context.route);
@@ -469,6 +473,12 @@
       state_.requests.on_target_failure(*found->second.call, content.outcome, content.reason,
                                         content.message.status, error, now);
     }
+    if (answered.max_request_rate || answered.names_no_rate) {
+      const std::optional<target_rate> before = state_.receiver.rate(now);
+      const policy::rate_change change =
+          state_.receiver.on_named_rate(*found->second.call, answered.max_request_rate, now);
+      record_rate_change(change, before, context, now);
+    }
     policy::receiver_actions actions;
     state_.receiver.finish(found->second.call, answered.result, now, actions);
     end_call(key, std::move(content), deferred);
@@ -521,10 +531,24 @@
   }
 }
 
+void inbound_path::record_rate_change(policy::rate_change change, const std::optional<target_rate>& before,
+                                      const call_context& cause, time_point now) {
+  if (change == policy::rate_change::none) {
+    return;
+  }
+  const std::optional<target_rate> after = state_.receiver.rate(now);
+  std::string detail = (before ? std::to_string(before->per_second) : std::string("none")) + " to " +
+                       (after ? std::to_string(after->per_second) : std::string("none"));
+  if (change == policy::rate_change::adopted) {
+    detail += " from " + cause.caller + ", named ms ago: " + observe::to_milliseconds_text(after->age);
+  }
+  state_.events.add(observe::event_kind::target_limit, cause.id, cause.instance, detail);
+}
+
 void inbound_path::fill_report(protocol::peer_answer& content, const std::string& route) const {
   const time_point now = state_.clock.now();
   content.report = {state_.receiver.load(), state_.receiver.level(), state_.receiver.leaving(),
-                    state_.incarnation};
+                    state_.incarnation, state_.receiver.rate(now)};
   content.route_level = state_.downstream.lowest_downstream_level(route, state_.sender, now);
   content.has_downstream_calls = state_.dialect ? state_.downstream.has_downstream_calls(route)
                                                 : !state_.settings.identity.called_services.empty();
--- a/nutmegarch/node/inbound_path.h
+++ b/nutmegarch/node/inbound_path.h
@@ -136,6 +136,9 @@
   /// request and calls the crash listener.
   void check_target();
   void record_order_result(const call_entry& ended, const protocol::peer_answer& content, time_point now);
+  /// Adds an event when the rate that the target takes has changed. `cause` tells what has changed it.
+  void record_rate_change(policy::rate_change change, const std::optional<target_rate>& before,
+                          const call_context& cause, time_point now);
   void fill_report(protocol::peer_answer& content, const std::string& route) const;
   int count_active_targets() const;
   static parent_call to_parent_call(std::uint64_t key, const call_entry& running);
--- a/nutmegarch/node/target_message.h
+++ b/nutmegarch/node/target_message.h
@@ -20,6 +20,9 @@
   policy::target_result result = policy::target_result::answered;
   /// Load that the target reported with the answer; nullopt when it reported none.
   std::optional<target_load> load;
+  /// Rate that the target named, see target_answer_fields.
+  std::optional<double> max_request_rate;
+  bool names_no_rate = false;
 };
 
 /// Returns an answer without a message, for a call that no target has answered.
--- a/nutmegarch/observe/timeline.cpp
+++ b/nutmegarch/observe/timeline.cpp
@@ -18,11 +18,12 @@
 }  // namespace
 
 const char* name_of(event_kind kind) {
-  constexpr std::array<const char*, 20> names = {
+  constexpr std::array<const char*, 21> names = {
       "rules-in-force", "rules-refused",  "level-changed",        "call-queued",    "call-started",
       "call-answered",  "call-shed",      "call-retried",         "call-hedged",    "ticket-issued",
       "order-unknown",  "target-ejected", "target-back",          "target-crashed", "quarantine",
-      "leaving",        "pause-found",    "configuration-silent", "bad-request",    "node-started"};
+      "leaving",        "pause-found",    "configuration-silent", "bad-request",    "node-started",
+      "target-limit"};
   return names.at(static_cast<std::size_t>(kind));
 }
 
@@ -35,6 +36,7 @@
     case event_kind::quarantine:
     case event_kind::pause_found:
     case event_kind::configuration_silent:
+    case event_kind::target_limit:
       return true;
     default:
       return false;
--- a/nutmegarch/observe/timeline.h
+++ b/nutmegarch/observe/timeline.h
@@ -31,7 +31,8 @@
   pause_found,
   configuration_silent,
   bad_request,
-  node_started
+  node_started,
+  target_limit
 };
 
 /// One event of the time line.
--- a/nutmegarch/policy/endpoint.h
+++ b/nutmegarch/policy/endpoint.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <string>
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -55,6 +56,12 @@
   time_point load_reported_at{};
   admission_level level;
   time_point level_expires{};
+  /// Requests per second that the target takes from all hosts together; 0 without a limit.
+  double max_request_rate = 0;
+  /// When the target last named it.
+  time_point rate_named_at{};
+  /// Moving average of the latency of its complete answers; 0 before the first one.
+  duration mean_latency{};
   /// Time of the first call to the endpoint, at which its slow start begins.
   time_point first_used_at{};
   /// Time until which the target counts as slow, because it has just started.
@@ -71,6 +78,12 @@
 
   /// True when the endpoint must not receive new calls.
   bool leaving() const { return reported_leaving || published_leaving || weight <= 0; }
+
+  /// Number of calls that the target runs concurrently at the rate that it takes, at least 1.
+  double usable_slots() const {
+    const double all = std::max(1, slots);
+    return max_request_rate > 0 ? std::clamp(max_request_rate * to_seconds(mean_latency), 1.0, all) : all;
+  }
 };
 
 using endpoint_ptr = boost::intrusive_ptr<endpoint>;
--- a/nutmegarch/policy/load_balancer.cpp
+++ b/nutmegarch/policy/load_balancer.cpp
@@ -38,9 +38,10 @@
 
 double load_score(const endpoint& candidate, const score_settings& settings, time_point now) {
   // The number of this node's own outstanding calls is exact. Calls of other nodes show in the reported load.
-  double load = static_cast<double>(candidate.outstanding + 1) / std::max(1, candidate.slots);
   const bool is_fresh = candidate.load_reported_at != time_point{} &&
                         now - candidate.load_reported_at < settings.reported_load_lifetime;
+  const double slots = is_fresh ? candidate.usable_slots() : std::max(1, candidate.slots);
+  double load = (candidate.outstanding + 1) / slots;
   load += is_fresh ? candidate.reported_load : settings.published_weight * candidate.published_load;
 
   // During its slow start an endpoint is scored as more loaded than it is, so that it receives fewer calls.
@@ -78,9 +79,9 @@
 
 double expected_latency(const endpoint& candidate, const score_settings& settings, time_point now) {
   // The load on the last answer, corrected by the calls that this node has sent or completed since then.
-  const double slots = std::max(1, candidate.slots);
   const bool is_fresh = candidate.load_reported_at != time_point{} &&
                         now - candidate.load_reported_at < settings.reported_load_lifetime;
+  const double slots = is_fresh ? candidate.usable_slots() : std::max(1, candidate.slots);
   const double load = is_fresh ? candidate.reported_load +
                                      (candidate.outstanding - candidate.outstanding_at_report + 1) / slots
                                : (candidate.outstanding + 1) / slots;
--- a/nutmegarch/policy/receiver.cpp
+++ b/nutmegarch/policy/receiver.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <limits>
 
 namespace nutmegarch::policy {
@@ -26,7 +27,8 @@
       limit_(make_concurrency_limit(settings.limit, settings.slots)),
       short_queue_(make_wait_queue(settings.queue)),
       long_queue_(make_wait_queue(settings.queue)),
-      level_controller_(settings.level) {}
+      level_controller_(settings.level),
+      rate_limiter_(settings.rate) {}
 
 void receiver::offer(const inbound_call_ptr& call, time_point now, receiver_actions& actions) {
   assert(call->phase == inbound_phase::offered);
@@ -47,7 +49,8 @@
 
   // Start the call when a slot is free and no other call of its queue waits.
   call->is_long = is_long_route(call->context.route);
-  const bool slot_free = running_ < limit_->value() && (!call->is_long || can_start_long_call());
+  const bool slot_free =
+      running_ < limit_->value() && rate_limiter_.has_token(now) && (!call->is_long || can_start_long_call());
   wait_queue& queue = call->is_long ? *long_queue_ : *short_queue_;
   if (slot_free && queue.empty()) {
     start(call, now, actions);
@@ -56,7 +59,7 @@
 
   // Otherwise queue it. When the queue is full, a less important call is evicted.
   if (!make_queue_space(*call, actions)) {
-    refuse(call, call_reason::queue_full, actions);
+    refuse(call, full_reason(), actions);
     return;
   }
   call->phase = inbound_phase::waiting;
@@ -87,6 +90,14 @@
   start_waiting_calls(now, actions);
 }
 
+rate_change receiver::on_named_rate(const inbound_call& call, std::optional<double> rate, time_point now) {
+  return rate ? rate_limiter_.on_named(*rate, now) : rate_limiter_.on_not_named(call.started);
+}
+
+rate_change receiver::on_peer_rate(const target_rate& learned, time_point now) {
+  return rate_limiter_.on_peer_rate(learned, now);
+}
+
 void receiver::cancel(const inbound_call_ptr& call, time_point now, receiver_actions& actions) {
   if (call->phase != inbound_phase::waiting) {
     return;
@@ -105,6 +116,8 @@
     refuse(call, call_reason::deadline, actions);
   }
 
+  trim_queues(actions);
+
   // Adapt the level, and the order within the queues.
   report_waiting_counts();
   level_controller_.on_tick(now);
@@ -123,7 +136,8 @@
 }
 
 double receiver::load() const {
-  return static_cast<double>(running_ + waiting()) / static_cast<double>(std::max(1, limit_->value()));
+  return static_cast<double>(running_ + waiting()) /
+         static_cast<double>(std::max(1, std::min(limit_->value(), usable_slots())));
 }
 
 duration receiver::service_time(const std::string& route, double q) const {
@@ -142,7 +156,7 @@
   return to_seconds(found->second.mean()) > settings_.long_factor * to_seconds(overall_median);
 }
 
-call_reason receiver::reason_to_refuse(const inbound_call& call, time_point now) const {
+call_reason receiver::reason_to_refuse(const inbound_call& call, time_point now) {
   if (leaving_) {
     return call_reason::leaving;
   }
@@ -159,6 +173,10 @@
   if (call.deadline != never && now + wait + service > call.deadline) {
     return call_reason::deadline;
   }
+  const duration rate_wait = rate_limiter_.time_for(ahead + 1, now);
+  if (call.deadline != never && now + rate_wait + service > call.deadline) {
+    return call_reason::target_limit;
+  }
   return call_reason::none;
 }
 
@@ -176,20 +194,53 @@
     const bool uses_order_capacity = call.context.inner || call.context.cls == call_class::order;
     return uses_order_capacity && waiting() < order_queue_capacity();
   }
-  refuse(evicted, call_reason::queue_full, actions);
+  refuse(evicted, full_reason(), actions);
   return true;
 }
 
+void receiver::trim_queues(receiver_actions& actions) {
+  // The calls that may use the larger capacity stay.
+  inbound_call kept;
+  kept.context.cls = call_class::order;
+  kept.queue_priority = queue_priority_of(kept.context);
+  kept.context.shed_rank = shed_rank_count - 1;
+  while (rate_limiter_.rate() && waiting() > order_queue_capacity()) {
+    inbound_call_ptr evicted = short_queue_->evict_for(kept);
+    if (!evicted) {
+      evicted = long_queue_->evict_for(kept);
+    }
+    if (!evicted) {
+      return;
+    }
+    refuse(evicted, call_reason::target_limit, actions);
+  }
+}
+
+call_reason receiver::full_reason() const {
+  return rate_limiter_.rate() && running_ < limit_->value() ? call_reason::target_limit
+                                                            : call_reason::queue_full;
+}
+
+int receiver::usable_slots() const {
+  const std::optional<double> rate = rate_limiter_.rate();
+  if (!rate) {
+    return settings_.slots;
+  }
+  const double running_at_rate = *rate * to_seconds(all_service_times_.mean());
+  return static_cast<int>(std::clamp(std::ceil(running_at_rate), 1.0, std::max(1.0, 1.0 * settings_.slots)));
+}
+
 void receiver::start(const inbound_call_ptr& call, time_point now, receiver_actions& actions) {
   call->phase = inbound_phase::running;
   call->started = now;
+  rate_limiter_.on_sent(now);
   ++running_;
   running_long_ += call->is_long ? 1 : 0;
   actions.push_back({receiver_action::kind::start, call, call_reason::none});
 }
 
 void receiver::start_waiting_calls(time_point now, receiver_actions& actions) {
-  while (running_ < limit_->value()) {
+  while (running_ < limit_->value() && rate_limiter_.has_token(now)) {
     wait_queue* const queue = next_queue();
     if (queue == nullptr) {
       break;
@@ -222,15 +273,24 @@
 }
 
 int receiver::queue_capacity() const {
-  return std::max(min_queue_capacity, static_cast<int>(settings_.queue_share * settings_.slots));
+  const int by_slots = static_cast<int>(settings_.queue_share * usable_slots());
+  const std::optional<double> rate = rate_limiter_.rate();
+  if (!rate) {
+    return std::max(min_queue_capacity, by_slots);
+  }
+  const double by_time = *rate * to_seconds(settings_.rate_queue_time);
+  return std::max({1, by_slots, static_cast<int>(std::min<double>(min_queue_capacity, by_time))});
 }
 
 int receiver::order_queue_capacity() const {
-  return std::max(queue_capacity(), static_cast<int>(settings_.order_queue_share * settings_.slots));
+  const int by_slots = static_cast<int>(settings_.order_queue_share * usable_slots());
+  return std::max({queue_capacity(), by_slots, rate_limiter_.rate() ? min_queue_capacity : 0});
 }
 
 int receiver::standing_queue_threshold() const {
-  return std::max(min_standing_queue, static_cast<int>(settings_.standing_queue_share * settings_.slots));
+  const int by_slots = static_cast<int>(settings_.standing_queue_share * usable_slots());
+  // A short queue at a low rate can stand without reaching the usual number.
+  return std::min(queue_capacity(), std::max(min_standing_queue, by_slots));
 }
 
 void receiver::report_waiting_counts() {
--- a/nutmegarch/policy/receiver.h
+++ b/nutmegarch/policy/receiver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -11,6 +12,7 @@
 #include "nutmegarch/policy/inbound_call.h"
 #include "nutmegarch/policy/latency_tracker.h"
 #include "nutmegarch/policy/level_controller.h"
+#include "nutmegarch/policy/request_rate_limiter.h"
 #include "nutmegarch/policy/wait_queue.h"
 
 namespace nutmegarch::policy {
@@ -40,6 +42,9 @@
   queue_kind queue = queue_kind::adaptive_lifo;
   limit_kind limit = limit_kind::probing;
   level_settings level;
+  request_rate_settings rate;
+  /// Time that a few calls may wait for their turn at a target that takes only a low rate of requests.
+  duration rate_queue_time = std::chrono::milliseconds(250);
 };
 
 /// What a receiver tells its adapter to do with a call.
@@ -66,8 +71,9 @@
 /// Calls run up to a concurrency_limit and wait in two queues, one for short and one for long calls. A call
 /// is long when its route is (receiver_settings::long_factor), all others are short. Long calls may occupy
 /// only a share of the limit, so that short ones do not wait behind them. Each queue is ordered by queue
-/// priority (inbound_call.h). Under lasting overload a level_controller lowers the admission_level of the
-/// node.
+/// priority (inbound_call.h). A target that names the rate of requests that it takes gets no more, and queues
+/// and load are measured by what it runs at that rate. Under lasting overload a level_controller lowers the
+/// admission_level of the node.
 ///
 /// The class does no I/O and reads no clock. It is not thread-safe.
 class receiver {
@@ -82,6 +88,11 @@
   void offer(const inbound_call_ptr& call, time_point now, receiver_actions& actions);
   /// A running call has ended at the target.
   void finish(const inbound_call_ptr& call, target_result result, time_point now, receiver_actions& actions);
+  /// The answer to a running call, before finish(), has named the rate of requests that the target takes, or
+  /// none (nullopt).
+  rate_change on_named_rate(const inbound_call& call, std::optional<double> rate, time_point now);
+  /// A caller passes on the rate that the target had named to it.
+  rate_change on_peer_rate(const target_rate& learned, time_point now);
   /// The caller no longer waits for the answer. Refuses the call if it waits; for a running call the adapter
   /// must still call finish().
   void cancel(const inbound_call_ptr& call, time_point now, receiver_actions& actions);
@@ -102,7 +113,10 @@
   bool leaving() const { return leaving_; }
   bool idle() const { return running_ == 0 && waiting() == 0; }
   admission_level level() const { return level_controller_.level(); }
-  /// Running and waiting calls divided by the concurrency limit.
+  /// The rate of requests that the target takes; nullopt without a limit.
+  std::optional<target_rate> rate(time_point now) const { return rate_limiter_.report(now); }
+  /// Running and waiting calls divided by the concurrency limit, or by the number that the target runs at the
+  /// rate that it takes.
   double load() const;
   /// Quantile `q` in (0, 1) of the recent service times of a route; that of all calls for an unknown route.
   duration service_time(const std::string& route, double q) const;
@@ -111,12 +125,19 @@
   /// @}
 
  private:
-  call_reason reason_to_refuse(const inbound_call& call, time_point now) const;
+  call_reason reason_to_refuse(const inbound_call& call, time_point now);
   bool make_queue_space(const inbound_call& call, receiver_actions& actions);
   void start(const inbound_call_ptr& call, time_point now, receiver_actions& actions);
   void start_waiting_calls(time_point now, receiver_actions& actions);
   wait_queue* next_queue();
   bool can_start_long_call() const;
+  /// Number of calls that the target runs concurrently at the rate that it takes, at least 1; the slots
+  /// without a limit.
+  int usable_slots() const;
+  /// Evicts less important calls from queues that became too long because a limit has begun.
+  void trim_queues(receiver_actions& actions);
+  /// Reason of a refusal for lack of space in the queues.
+  call_reason full_reason() const;
   int queue_capacity() const;
   int order_queue_capacity() const;
   int standing_queue_threshold() const;
@@ -127,6 +148,7 @@
   std::unique_ptr<wait_queue> short_queue_;
   std::unique_ptr<wait_queue> long_queue_;
   level_controller level_controller_;
+  request_rate_limiter rate_limiter_;
   std::unordered_map<std::string, latency_tracker> route_service_times_;
   latency_tracker all_service_times_;
   int running_ = 0;
--- a/nutmegarch/policy/sender.cpp
+++ b/nutmegarch/policy/sender.cpp
@@ -315,6 +315,11 @@
   action.context.retry_tokens = made.tokens_given;
   action.context.remaining = call->deadline == never ? duration::max() : call->deadline - now;
   action.context.instance = to.instance;
+  // The node beside the target may have restarted, and then knows the limit from its callers only.
+  action.context.known_target_rate.reset();
+  if (to.max_request_rate > 0) {
+    action.context.known_target_rate = target_rate{to.max_request_rate, now - to.rate_named_at};
+  }
   actions.push_back(std::move(action));
 }
 
--- a/nutmegarch/policy/service_state.cpp
+++ b/nutmegarch/policy/service_state.cpp
@@ -13,6 +13,8 @@
 constexpr duration default_latency = std::chrono::milliseconds(200);
 /// Weight of one answer in the moving average of the relative latency of its endpoint.
 constexpr double relative_latency_weight = 0.05;
+/// Weight of one answer in the moving average of the latency of its endpoint.
+constexpr double mean_latency_weight = 0.05;
 /// Upper bound of the latency ratio of a single answer.
 constexpr double max_latency_ratio = 8;
 /// Weight of one answer in the moving average of the size of a route's answers.
@@ -61,6 +63,8 @@
   from.level = answer.report->level;
   from.level_expires = now + settings_.level_lifetime;
   from.reported_leaving = answer.report->leaving;
+  from.max_request_rate = answer.report->rate ? answer.report->rate->per_second : 0;
+  from.rate_named_at = answer.report->rate ? now - answer.report->rate->age : time_point{};
   if (answer.report->incarnation != 0) {
     from.incarnation = answer.report->incarnation;
   }
@@ -80,6 +84,10 @@
 
 void service_state::record_success(endpoint& from, const std::string& route, duration latency,
                                    std::size_t size) {
+  from.mean_latency =
+      from.mean_latency == duration{}
+          ? latency
+          : from.mean_latency + from_seconds(mean_latency_weight * to_seconds(latency - from.mean_latency));
   route_state* const state = find_or_add_route(route);
   if (state != nullptr) {
     const double median = to_seconds(state->latency.quantile(0.5, latency));
--- a/nutmegarch/protocol/codec.cpp
+++ b/nutmegarch/protocol/codec.cpp
@@ -39,6 +39,13 @@
   return static_cast<Enum>(std::min(value, static_cast<unsigned>(max_value)));
 }
 
+std::optional<target_rate> read_rate(double per_second, std::int64_t age) {
+  if (!std::isfinite(per_second) || per_second <= 0) {
+    return std::nullopt;
+  }
+  return target_rate{per_second, std::max(duration{}, duration(age))};
+}
+
 void write_stamp(const membership::document_stamp& from, wire::DocumentStamp::Builder to) {
   to.setKey(from.key);
   to.setVersion(from.version);
@@ -71,6 +78,10 @@
   to.setAttemptId(from.attempt_id);
   to.setInstance(from.instance);
   to.setInner(from.inner);
+  if (from.known_target_rate) {
+    to.setTargetRate(from.known_target_rate->per_second);
+    to.setTargetRateAge(from.known_target_rate->age.count());
+  }
   if (from.ticket) {
     to.setTicketIncarnation(from.ticket->incarnation);
     to.setTicketSequence(from.ticket->sequence);
@@ -109,6 +120,7 @@
   to.attempt_id = to_text(from.getAttemptId());
   to.instance = to_text(from.getInstance());
   to.inner = from.getInner();
+  to.known_target_rate = read_rate(from.getTargetRate(), from.getTargetRateAge());
   call.stamp = from.getStamp();
   return call;
 }
@@ -136,6 +148,10 @@
   to.setLevel(from.report.level.cutoff);
   to.setLeaving(from.report.leaving);
   to.setIncarnation(from.report.incarnation);
+  if (from.report.rate) {
+    to.setTargetRate(from.report.rate->per_second);
+    to.setTargetRateAge(from.report.rate->age.count());
+  }
   to.setRouteLevel(from.route_level.cutoff);
   to.setCallsOn(from.has_downstream_calls);
   to.setTicketSequence(from.ticket ? from.ticket->sequence : 0);
@@ -154,7 +170,8 @@
   answer.tokens_back = from.getTokensBack();
   const double load = from.getLoad();
   answer.report = {std::isfinite(load) && load > 0 ? load : 0, admission_level{from.getLevel()},
-                   from.getLeaving(), from.getIncarnation()};
+                   from.getLeaving(), from.getIncarnation(),
+                   read_rate(from.getTargetRate(), from.getTargetRateAge())};
   answer.route_level.cutoff = from.getRouteLevel();
   answer.has_downstream_calls = from.getCallsOn();
   if (from.getTicketSequence() != 0) {
--- a/nutmegarch/protocol/peer.capnp
+++ b/nutmegarch/protocol/peer.capnp
@@ -28,6 +28,10 @@
   attemptId @17 :Text;
   instance @18 :Text;
   inner @19 :Bool;
+  # Requests per second that the target takes, as the sender has learned it, and the time since the target
+  # named it. 0: not known.
+  targetRate @20 :Float64;
+  targetRateAge @21 :Int64;
 }
 
 struct Header {
@@ -61,6 +65,9 @@
   stamp @14 :UInt64;
   # The call was written to the target. It counts as an arrival there, whether or not the target answered.
   reachedTarget @15 :Bool;
+  # Requests per second that the target takes, and the time since it named them. 0: no limit is known.
+  targetRate @16 :Float64;
+  targetRateAge @17 :Int64;
 }
 
 struct DocumentStamp {
--- a/nutmegarch/protocol/peer.capnp.h
+++ b/nutmegarch/protocol/peer.capnp.h
@@ -52,7 +52,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f9509f592e8d67d5, 8, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(f9509f592e8d67d5, 10, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -97,7 +97,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e99de4fcf75f38e6, 6, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(e99de4fcf75f38e6, 8, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -373,6 +373,10 @@
 
   inline bool getInner() const;
 
+  inline double getTargetRate() const;
+
+  inline  ::int64_t getTargetRateAge() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -481,6 +485,12 @@
   inline bool getInner();
   inline void setInner(bool value);
 
+  inline double getTargetRate();
+  inline void setTargetRate(double value);
+
+  inline  ::int64_t getTargetRateAge();
+  inline void setTargetRateAge( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -771,6 +781,10 @@
 
   inline bool getReachedTarget() const;
 
+  inline double getTargetRate() const;
+
+  inline  ::int64_t getTargetRateAge() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -859,6 +873,12 @@
   inline bool getReachedTarget();
   inline void setReachedTarget(bool value);
 
+  inline double getTargetRate();
+  inline void setTargetRate(double value);
+
+  inline  ::int64_t getTargetRateAge();
+  inline void setTargetRateAge( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2378,6 +2398,34 @@
       ::capnp::bounded<162>() * ::capnp::ELEMENTS, value);
 }
 
+inline double CallContext::Reader::getTargetRate() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline double CallContext::Builder::getTargetRate() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void CallContext::Builder::setTargetRate(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t CallContext::Reader::getTargetRateAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CallContext::Builder::getTargetRateAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void CallContext::Builder::setTargetRateAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2900,6 +2948,34 @@
       ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
 }
 
+inline double Answer::Reader::getTargetRate() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline double Answer::Builder::getTargetRate() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setTargetRate(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Answer::Reader::getTargetRateAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Answer::Builder::getTargetRateAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setTargetRateAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool DocumentStamp::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/performance_test/virtual_time/fake_node.cpp
+++ b/performance_test/virtual_time/fake_node.cpp
@@ -85,6 +85,9 @@
     respond(ended, call_outcome::unknown, call_reason::ticket_sealed);
     return key;
   }
+  if (context.known_target_rate) {
+    receiver_.on_peer_rate(*context.known_target_rate, events_.now());
+  }
   policy::receiver_actions actions;
   receiver_.offer(call, events_.now(), actions);
   apply(actions);
@@ -105,6 +108,16 @@
   apply(actions);
 }
 
+void fake_node::restart_receiver() {
+  receiver_ = policy::receiver(settings_.receiver);
+  const std::unordered_map<std::uint64_t, inbound> lost = std::move(inbound_);
+  inbound_.clear();
+  for (const std::pair<const std::uint64_t, inbound>& call : lost) {
+    target_.release(call.second.handle);
+    respond(call.second, call_outcome::unknown, call_reason::connection_lost);
+  }
+}
+
 void fake_node::tick() {
   policy::receiver_actions inbound_actions;
   receiver_.on_tick(events_.now(), inbound_actions);
@@ -180,6 +193,7 @@
     if (action.what == policy::receiver_action::kind::start) {
       downstream_.on_call_started(action.call->context.route);
       const double factor = work_factor(settings_, action.call->context.route);
+      arrivals_.push_back(events_.now());
       inbound_.at(key).handle = target_.run(factor, [this, key](std::uint64_t) { work_done(key); });
       continue;
     }
@@ -274,6 +288,9 @@
     sender_.cancel(child->second.call, events_.now(), cancels);
     apply(cancels);
   }
+  if (result == policy::target_result::answered) {
+    receiver_.on_named_rate(*ended.call, named_rate_, events_.now());
+  }
   respond(ended, outcome, reason);
   policy::receiver_actions actions;
   receiver_.finish(ended.call, result, events_.now(), actions);
@@ -285,8 +302,8 @@
   answer.outcome = outcome;
   answer.reason = reason;
   answer.tokens_back = to.ledger->tokens();
-  answer.report =
-      node_report{receiver_.load(), receiver_.level(), receiver_.leaving(), orders_.incarnation()};
+  answer.report = node_report{receiver_.load(), receiver_.level(), receiver_.leaving(), orders_.incarnation(),
+                              receiver_.rate(events_.now())};
   auto work = settings_.routes.find(to.call->context.route);
   answer.has_downstream_calls =
       work == settings_.routes.end() ? !settings_.calls.empty() : !work->second.calls.empty();
--- a/performance_test/virtual_time/fake_node.h
+++ b/performance_test/virtual_time/fake_node.h
@@ -3,8 +3,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "nutmegarch/policy/downstream_levels.h"
 #include "nutmegarch/policy/order_registry.h"
@@ -80,6 +82,13 @@
     sender_.set_endpoints(service, std::move(endpoints));
   }
 
+  /// The target names this rate of calls a second in its answers from now on; nullopt for none.
+  void set_named_rate(std::optional<double> rate) { named_rate_ = rate; }
+  /// Replaces the process of the node: it forgets what it has learned about its target, and loses its calls.
+  void restart_receiver();
+  /// When each call was sent to the target.
+  const std::vector<time_point>& arrivals() const { return arrivals_; }
+
   const fake_node_settings& settings() const { return settings_; }
   fake_target& target() { return target_; }
   policy::receiver& receiver() { return receiver_; }
@@ -128,6 +137,8 @@
   std::unordered_map<std::uint64_t, outbound> outbound_;
   std::unordered_map<std::uint64_t, inbound> inbound_;
   std::uint64_t next_key_ = 1;
+  std::optional<double> named_rate_;
+  std::vector<time_point> arrivals_;
 };
 
 /// Delays between places, and the count of what crosses the link between regions.
--- a/stand_ins/server_stand_in.cpp
+++ b/stand_ins/server_stand_in.cpp
@@ -280,7 +280,7 @@
     std::string text =
         "HTTP/1.1 " + std::to_string(status) + " Answer\r\nNutmegarch-Attempt-Id: " + id +
         "\r\nNutmegarch-Response-Signature: " + hexadecimal(checksum(id + std::to_string(status) + body)) +
-        "\r\nNutmegarch-Server-Load: " + gate_.load() + "\r\n";
+        "\r\nNutmegarch-Server-Load: " + gate_.load() + "\r\n" + limit_line();
     if (is_chunked) {
       std::ostringstream size;
       size << std::hex << body.size();
@@ -306,7 +306,13 @@
     return write(socket, "HTTP/1.1 " + std::to_string(status) +
                              " Rejected\r\nNutmegarch-Not-Executed: 1\r\nContent-Length: 0\r\n" +
                              "Nutmegarch-Attempt-Id: " + id + "\r\nNutmegarch-Server-Load: " + gate_.load() +
-                             "\r\n\r\n");
+                             "\r\n" + limit_line() + "\r\n");
+  }
+
+  /// The header line that names the requests a second of the trouble "limit"; empty without it.
+  std::string limit_line() const {
+    const double limit = share("limit");
+    return limit > 0 ? "Server-Limit: " + std::to_string(limit) + "\r\n" : "";
   }
 
   static bool write(tcp::socket& socket, const std::string& text) {
--- a/unit_tests/docs/docs_test.cpp
+++ b/unit_tests/docs/docs_test.cpp
@@ -33,7 +33,7 @@
 }
 
 constexpr int rule_kind_count = 10;
-constexpr int event_kind_count = 20;
+constexpr int event_kind_count = 21;
 
 }  // namespace
 
--- a/unit_tests/policy/sender_test.cpp
+++ b/unit_tests/policy/sender_test.cpp
@@ -382,6 +382,23 @@
   BOOST_TEST(call->attempts.front().to.get() == endpoints.at(0).get());
 }
 
+BOOST_AUTO_TEST_CASE(calls_carry_the_rate_that_answers_of_their_endpoint_have_named) {
+  fixture used;
+  used.tested.set_endpoints("s", make_endpoints(1));
+  const outbound_call_ptr first = make_call(begin + std::chrono::seconds(1), true);
+  used.tested.start(first, begin, used.actions);
+  BOOST_TEST(!used.actions.back().context.known_target_rate);
+  attempt_answer answer = make_answer(call_outcome::ok);
+  answer.report->rate = target_rate{34, std::chrono::milliseconds(200)};
+  used.tested.on_answer(first, 0, answer, begin, used.actions);
+
+  const time_point later = begin + std::chrono::seconds(1);
+  used.tested.start(make_call(later + std::chrono::seconds(1), true), later, used.actions);
+  BOOST_REQUIRE(used.actions.back().context.known_target_rate.has_value());
+  BOOST_TEST(used.actions.back().context.known_target_rate->per_second == 34);
+  BOOST_TEST((used.actions.back().context.known_target_rate->age == std::chrono::milliseconds(1200)));
+}
+
 BOOST_AUTO_TEST_CASE(an_unused_idle_endpoint_does_not_affect_the_level_of_a_route) {
   sender_settings settings;
   settings.link = {0, 0, 0};
--- a/unit_tests/protocol/peer_network_test.cpp
+++ b/unit_tests/protocol/peer_network_test.cpp
@@ -117,6 +117,30 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(target_rate_passes_between_nodes_and_is_unknown_without_one) {
+  const target_rate rate{34.5, std::chrono::milliseconds(250)};
+  capnp::MallocMessageBuilder builder;
+  wire::CallContext::Builder context = builder.initRoot<wire::CallContext>();
+  BOOST_TEST(!read_context(context.asReader()).context.known_target_rate);
+  call_context written_context;
+  written_context.known_target_rate = rate;
+  write_context(written_context, 0, context);
+  BOOST_TEST(read_context(context.asReader()).context.known_target_rate->per_second == rate.per_second);
+  BOOST_TEST((read_context(context.asReader()).context.known_target_rate->age == rate.age));
+
+  wire::Answer::Builder answer = builder.initRoot<wire::Answer>();
+  BOOST_TEST(!read(answer.asReader()).report.rate);
+  peer_answer written_answer;
+  written_answer.report.rate = rate;
+  write(written_answer, answer);
+  BOOST_TEST(read(answer.asReader()).report.rate->per_second == rate.per_second);
+  BOOST_TEST((read(answer.asReader()).report.rate->age == rate.age));
+  for (const double garbage : {std::nan(""), HUGE_VAL, -1.0}) {
+    answer.setTargetRate(garbage);
+    BOOST_TEST(!read(answer.asReader()).report.rate);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(call_returns_the_answer_to_it, two_networks) {
   const result<peer_answer, peer_error> outcome = call(address, "GET /a");
   BOOST_REQUIRE(succeeded(outcome));
