Show that limits of a configuration from a peer are not applied

A node that learns a configuration from a peer keeps the old limits on callers until the store answers it: only the store's answers call the listener that applies them. Seen: check send_request(1, "POST", "/buy/1", {}, "too long").status == 413 has failed [200 != 413] The store of the path tests now ends watches when they have waited as long as they asked, as a store does.

--- a/unit_tests/platform/platform_path_test.cpp
+++ b/unit_tests/platform/platform_path_test.cpp
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "nutmegarch/http/address.h"
@@ -126,7 +127,9 @@
   explicit small_platform(duration gossip_interval)
       : gossip_interval_(gossip_interval),
         work_(boost::asio::make_work_guard(workers_)),
-        store_server_(workers_, {}, store) {
+        store_server_(workers_, {}, store),
+        watch_timer_(workers_) {
+    end_watches_regularly();
     BOOST_REQUIRE(store_server_.start("127.0.0.1:0"));
     store_address_ = "127.0.0.1:" + std::to_string(store_server_.port());
     thread_ = std::thread([this]() { workers_.run(); });
@@ -271,6 +274,17 @@
   std::map<std::size_t, std::unique_ptr<node::node>> nodes;
 
  private:
+  /// Lets the store answer watches that have waited as long as they asked.
+  void end_watches_regularly() {
+    watch_timer_.expires_after(std::chrono::milliseconds(20));
+    watch_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        store.end_watches();
+        end_watches_regularly();
+      }
+    });
+  }
+
   static answer_message send(const std::string& address, const request_message& request) {
     boost::asio::io_context context;
     http::client_pool pool(context, *http::parse_address(address), {});
@@ -287,6 +301,7 @@
   duration gossip_interval_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
   http::server store_server_;
+  boost::asio::steady_timer watch_timer_;
   std::string store_address_;
   std::vector<std::string> peer_addresses_;
   std::vector<std::unique_ptr<http::server>> http_servers_;
@@ -495,6 +510,20 @@
       change_bound));
 }
 
+// Guards against limits that stay old: only answers of the store applied the limits of a configuration.
+BOOST_FIXTURE_TEST_CASE(limits_of_a_configuration_that_a_peer_sent_are_applied, small_platform) {
+  publish(
+      2, {route_json("buy", "/buy/", "shop", "non_idempotent"),
+          R"({"ResourceType": "Limits", "Metadata": {}, "Spec": {"MaxHeaderBytes": 8000, "MaxBodyBytes": 4, )"
+          R"("HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}})"});
+  BOOST_REQUIRE(wait_for([&]() { return send_request(0, "POST", "/buy/1", {}, "too long").status == 413; }));
+  store.set_mode(stand_ins::store_stand_in::mode::refuses);
+  nodes.erase(1);
+  start_node(1);
+  BOOST_REQUIRE(wait_for([&]() { return send_request(1, "POST", "/buy/1", {}, "two").status == 200; }));
+  BOOST_TEST(send_request(1, "POST", "/buy/1", {}, "too long").status == 413);
+}
+
 BOOST_FIXTURE_TEST_CASE(leaving_node_reports_not_ready_and_requests_at_its_peer_succeed, small_platform) {
   nodes[1]->leave();
   BOOST_TEST(wait_for([&]() { return !is_ready(1); }));
