Apply the limits of a configuration that a peer has sent

A node that learns a configuration from a peer kept the old limits on callers: only answers of the store called the listener that applies them. The documents of peers now call it as well, on a worker thread and without the state's lock.

--- a/nutmegarch/node/control_path.cpp
+++ b/nutmegarch/node/control_path.cpp
@@ -110,11 +110,20 @@
                        reply.digest.end());
   }
   if (has_changed) {
-    boost::asio::post(workers_, [self = shared_from_this()]() { self->announce_update(); });
+    post_change();
   }
   return reply;
 }
 
+void control_path::post_change() {
+  boost::asio::post(workers_, [self = shared_from_this()]() {
+    if (self->published_) {
+      self->published_->notify_listener();
+    }
+    self->announce_update();
+  });
+}
+
 void control_path::announce_leaving() {
   std::vector<std::string> all_peers;
   {
@@ -366,7 +375,7 @@
     }
   }
   if (has_changed) {
-    boost::asio::post(workers_, [self = shared_from_this()]() { self->announce_update(); });
+    post_change();
   }
   // A peer may reject documents. They are not sent to it again at once, which would repeat without end.
   if (!missing_documents.empty() && !sent_documents) {
--- a/nutmegarch/node/control_path.h
+++ b/nutmegarch/node/control_path.h
@@ -58,6 +58,8 @@
   void on_reply(const std::string& address, const protocol::peer_exchange& reply, bool sent_documents,
                 bool sent_digest);
   protocol::peer_exchange make_offer() const;
+  /// Applies and passes on, on a worker thread, what a peer has changed.
+  void post_change();
   /// Applies what a peer has sent; returns true when it changed the local state.
   bool merge(const protocol::peer_exchange& from);
 
--- a/nutmegarch/node/store_synchronizer.cpp
+++ b/nutmegarch/node/store_synchronizer.cpp
@@ -166,7 +166,13 @@
                          {{"revision", std::to_string(store_copy_.revision())}});
     }
   }
-  if (has_changed && listener_) {
+  if (has_changed) {
+    notify_listener();
+  }
+}
+
+void store_synchronizer::notify_listener() const {
+  if (listener_) {
     listener_();
   }
 }
--- a/nutmegarch/node/store_synchronizer.h
+++ b/nutmegarch/node/store_synchronizer.h
@@ -18,10 +18,13 @@
  public:
   store_synchronizer(node_state& state, std::unique_ptr<membership::published_source> source);
 
-  /// Sets the function to call after the store's answers have changed routes or targets. Call before the
+  /// Sets the function to call after the store or a peer has changed routes or targets. Call before the
   /// first tick. The listener runs on a worker thread without the state's lock.
   void set_listener(std::function<void()> listener) { listener_ = std::move(listener); }
 
+  /// Calls the listener. Call without the state's lock, on a worker thread, after accept_document() has
+  /// applied a document.
+  void notify_listener() const;
   /// Call periodically: sends the request that is due, and drops entries whose grace period has ended.
   void on_tick();
   /// Call after the process was suspended: connections may be dead, and the local copy may be stale.
