Wait for a slow store's answer after a silent watch

A watch that had not returned a change known to a peer within 600 ms was abandoned, and so was each one after it: a node behind a slow link or a store slower than 600 ms would never have read it again, and kept old routes and targets. A revision that a peer named and the store never had made it worse, since it was never forgotten.

The watch after an abandoned one now ends by its answer or its own time-out, and an answer of the store to a watch sent after a peer's report replaces what the peer had said.

--- a/nutmegarch/membership/published_reader.cpp
+++ b/nutmegarch/membership/published_reader.cpp
@@ -58,6 +58,9 @@
   on_answer(now);
   is_current_ = true;
   watched_revision_ = std::max(watched_revision_, revision);
+  if (sent_ >= behind_since_) {
+    peer_revision_ = std::min(peer_revision_, watched_revision_);
+  }
   if (!changes.empty()) {
     next_request_time_ = now + gather();
   }
@@ -92,15 +95,11 @@
 }
 
 bool published_reader::is_silent(time_point now) const {
-  return is_open_ && !is_listing_ && peer_revision_ > watched_revision_ &&
+  return is_open_ && !is_listing_ && !was_silent_ && peer_revision_ > watched_revision_ &&
          now - std::max(sent_, behind_since_) >= settings_.silence_patience;
 }
 
 void published_reader::on_silence(time_point now) {
-  if (was_silent_) {
-    on_failure(now);
-    return;
-  }
   was_silent_ = true;
   is_open_ = false;
   is_current_ = false;
--- a/nutmegarch/membership/published_reader.h
+++ b/nutmegarch/membership/published_reader.h
@@ -88,8 +88,7 @@
   void on_failure(time_point now);
   /// A peer has learned from the store of a change of this revision.
   void on_peer_change(std::uint64_t revision, time_point now);
-  /// The request in progress is abandoned because is_silent() is true. The next one is due at once, but after
-  /// a pause when the request before was abandoned too.
+  /// The request in progress is abandoned because is_silent() is true. The next one is due at once.
   void on_silence(time_point now);
   /// The process was suspended. The request in progress is abandoned, and the next one is due at once.
   void on_pause();
@@ -102,7 +101,8 @@
     return is_open_ && request.request_id == last_request_id_;
   }
   /// True when the watch in progress should have returned a change that a peer knows. Its connection is dead
-  /// then, and must not be used again.
+  /// then, and must not be used again. The watch after an abandoned one is never silent: the store may be
+  /// slow, and a late answer is better than none.
   bool is_silent(time_point now) const;
   /// Revision of the newest change that a peer has learned from the store.
   std::uint64_t peer_revision() const { return peer_revision_; }
