Take a listing that changed between its pages for unconfirmed

A configuration that is written while the later pages are read is not in the first page. The node counted as confirmed and could deny the new route until its next watch returned. A listing is current only if all of its pages have the same revision; otherwise the short confirming watch follows. The case failed before: check !reader.is_current() has failed.

--- a/nutmegarch/membership/published_reader.cpp
+++ b/nutmegarch/membership/published_reader.cpp
@@ -39,6 +39,7 @@
   on_answer(now);
   // The pages are read at different revisions. Watching from the lowest one misses no change.
   listing_revision_ = after_key_.empty() ? revision : std::min(listing_revision_, revision);
+  newest_page_revision_ = std::max(newest_page_revision_, revision);
   listing_.insert(listing_.end(), items.begin(), items.end());
   if (!next_key.empty()) {
     after_key_ = next_key;
@@ -46,7 +47,8 @@
   }
   const bool changed = state_.replace(listing_, listing_revision_, now);
   watched_revision_ = listing_revision_;
-  is_current_ = !may_be_stale_;
+  // A change between two pages may concern the first one.
+  is_current_ = !may_be_stale_ && newest_page_revision_ == listing_revision_;
   has_listed_ = true;
   restart_listing(false);
   is_listing_ = false;
@@ -142,6 +144,7 @@
   may_be_stale_ = may_be_stale;
   listing_.clear();
   listing_revision_ = 0;
+  newest_page_revision_ = 0;
   after_key_.clear();
 }
 
--- a/nutmegarch/membership/published_reader.h
+++ b/nutmegarch/membership/published_reader.h
@@ -129,9 +129,10 @@
   bool may_be_stale_ = false;
   bool has_listed_ = false;
   bool is_current_ = false;
-  /// Items of the pages received so far, and the lowest revision at which a page was read.
+  /// Items of the pages received so far, and the lowest and highest revisions at which a page was read.
   std::vector<published_item> listing_;
   std::uint64_t listing_revision_ = 0;
+  std::uint64_t newest_page_revision_ = 0;
   std::string after_key_;
   /// Revision after which the next watch returns changes.
   std::uint64_t watched_revision_ = 0;
