Hold back removals only after the store was away long enough for entries to lapse

Requests could reach targets that had left without saying so, for 2 s more than needed: one refused read, also the first of a process, started the grace period for entries that lapse while the store is away, and the removals in the very next answer were held back by it. The bound for leaving targets is 2.5 s after the acknowledgement.

Entries can lapse only when targets could not write for two intervals of theirs, 3 s; the grace period now starts only after reads have failed for so long, and never with the first listing. The case failed before: check state.items().count("a") == 0U has failed [1 != 0].

--- a/nutmegarch/membership/published_reader.cpp
+++ b/nutmegarch/membership/published_reader.cpp
@@ -79,6 +79,9 @@
 void published_reader::on_failure(time_point now) {
   is_open_ = false;
   is_current_ = false;
+  if (failures_ == 0) {
+    failing_since_ = sent_;
+  }
   const int doublings = std::min(failures_, max_doublings);
   const duration pause =
       std::min(settings_.longest_pause, settings_.first_pause * (std::int64_t{1} << doublings));
@@ -118,7 +121,7 @@
 }
 
 void published_reader::on_answer(time_point now) {
-  if (failures_ > 0) {
+  if (failures_ > 0 && has_listed_ && now - failing_since_ >= settings_.shortest_lapse) {
     state_.on_store_recovered(now);
   }
   failures_ = 0;
--- a/nutmegarch/membership/published_reader.h
+++ b/nutmegarch/membership/published_reader.h
@@ -52,6 +52,9 @@
   /// Pause after the first failure. It doubles with each further one up to `longest_pause`, and is jittered.
   duration first_pause = std::chrono::milliseconds(500);
   duration longest_pause = std::chrono::seconds(4);
+  /// Entries of targets that live can expire while the store is away for this long: the entry of one that was
+  /// about to write expires two of its 1.5 s intervals later. A shorter absence starts no grace period.
+  duration shortest_lapse = std::chrono::seconds(3);
   /// A watch that has not returned a change which a peer has learned from the store is abandoned after this
   /// time. It is longer than a slow store takes for an answer, and leaves room for the exchange with the peer
   /// within the 2.5 s after which changes must be in force.
@@ -145,6 +148,8 @@
   bool was_silent_ = false;
   std::size_t fleet_size_ = 1;
   int failures_ = 0;
+  /// When the first of the consecutive failed requests was sent.
+  time_point failing_since_{};
 };
 
 }  // namespace nutmegarch::membership
