Deny routes only by a view that the store itself confirms

A node that had just started could still answer 404 for an acknowledged route: one reply of a peer that believed its view confirmed was enough, and a peer believes so for as long as its own watch is open, dead or not.

A peer that reads the store now makes the first view usable, and no more: 404 needs the store's own answer to this node. The time for which a peer's confirmation lasted is gone with its setting.

--- a/nutmegarch/node/node_settings.cpp
+++ b/nutmegarch/node/node_settings.cpp
@@ -52,7 +52,6 @@
   reader.read_duration("/store/silence_patience", to.store.silence_patience, milliseconds(10), minutes(1));
   reader.read_duration("/view/longest_refusal", to.view.max_refusal, milliseconds(0), minutes(1));
   reader.read_duration("/view/store_patience", to.view.store_patience, milliseconds(0), minutes(1));
-  reader.read_duration("/view/peer_validity", to.view.peer_validity, milliseconds(0), minutes(1));
   reader.read_duration("/store/gather", to.store.gather, milliseconds(0), seconds(10));
   reader.read_duration("/store/first_pause", to.store.first_pause, milliseconds(10), minutes(1));
   reader.read_duration("/store/longest_pause", to.store.longest_pause, milliseconds(10), minutes(1));
--- a/nutmegarch/node/store_synchronizer.cpp
+++ b/nutmegarch/node/store_synchronizer.cpp
@@ -198,7 +198,6 @@
     return;
   }
   state_.view.on_peer_view(state_.clock.now());
-  log_confirmation("peer");
 }
 
 bool store_synchronizer::abandon_silent_watch(time_point now) {
@@ -218,7 +217,7 @@
 
 void store_synchronizer::log_confirmation(const char* source) {
   const time_point now = state_.clock.now();
-  const bool is_confirmed = state_.view.is_confirmed(now);
+  const bool is_confirmed = state_.view.is_confirmed();
   if (is_confirmed == was_confirmed_) {
     return;
   }
--- a/nutmegarch/node/store_synchronizer.h
+++ b/nutmegarch/node/store_synchronizer.h
@@ -31,14 +31,10 @@
   void on_pause();
   /// True when the store can't be read now, or has not confirmed the view of this node. Requires the state's
   /// lock.
-  bool needs_peers() const {
-    return reader_.failures() > 0 || !state_.view.is_confirmed_by_store() || !state_.routes;
-  }
+  bool needs_peers() const { return reader_.failures() > 0 || !state_.view.is_confirmed() || !state_.routes; }
   /// Revision of the newest change that the store has told this node of; 0 when the store does not confirm
   /// the view now. Requires the state's lock.
-  std::uint64_t confirmed_revision() const {
-    return state_.view.is_confirmed_by_store() ? newest_change_ : 0;
-  }
+  std::uint64_t confirmed_revision() const { return state_.view.is_confirmed() ? newest_change_ : 0; }
   /// A peer has learned from the store of a change of this revision. Requires the state's lock.
   void on_peer_change(std::uint64_t revision) { reader_.on_peer_change(revision, state_.clock.now()); }
   /// A peer has sent all documents that this node lacks. `revision` is its confirmed_revision(). Requires the
