--- a/nutmegarch/membership/published_reader.cpp
+++ b/nutmegarch/membership/published_reader.cpp
@@ -28,7 +28,7 @@
   } else {
     request.what = store_request::kind::watch;
     request.revision = watched_revision_;
-    request.wait = is_current_ ? settings_.watch : settings_.confirming_watch;
+    request.wait = is_current_ ? choose_watch() : settings_.confirming_watch;
   }
   return request;
 }
@@ -39,6 +39,7 @@
   on_answer(now);
   // The pages are read at different revisions. Watching from the lowest one misses no change.
   listing_revision_ = after_key_.empty() ? revision : std::min(listing_revision_, revision);
+  newest_page_revision_ = std::max(newest_page_revision_, revision);
   listing_.insert(listing_.end(), items.begin(), items.end());
   if (!next_key.empty()) {
     after_key_ = next_key;
@@ -46,7 +47,8 @@
   }
   const bool changed = state_.replace(listing_, listing_revision_, now);
   watched_revision_ = listing_revision_;
-  is_current_ = !may_be_stale_;
+  // A change between two pages may concern the first one.
+  is_current_ = !may_be_stale_ && newest_page_revision_ == listing_revision_;
   has_listed_ = true;
   restart_listing(false);
   is_listing_ = false;
@@ -58,6 +60,9 @@
   on_answer(now);
   is_current_ = true;
   watched_revision_ = std::max(watched_revision_, revision);
+  if (sent_ >= behind_since_) {
+    peer_revision_ = std::min(peer_revision_, watched_revision_);
+  }
   if (!changes.empty()) {
     next_request_time_ = now + gather();
   }
@@ -74,6 +79,9 @@
 void published_reader::on_failure(time_point now) {
   is_open_ = false;
   is_current_ = false;
+  if (failures_ == 0) {
+    failing_since_ = sent_;
+  }
   const int doublings = std::min(failures_, max_doublings);
   const duration pause =
       std::min(settings_.longest_pause, settings_.first_pause * (std::int64_t{1} << doublings));
@@ -92,15 +100,11 @@
 }
 
 bool published_reader::is_silent(time_point now) const {
-  return is_open_ && !is_listing_ && peer_revision_ > watched_revision_ &&
+  return is_open_ && !is_listing_ && !was_silent_ && peer_revision_ > watched_revision_ &&
          now - std::max(sent_, behind_since_) >= settings_.silence_patience;
 }
 
 void published_reader::on_silence(time_point now) {
-  if (was_silent_) {
-    on_failure(now);
-    return;
-  }
   was_silent_ = true;
   is_open_ = false;
   is_current_ = false;
@@ -117,7 +121,7 @@
 }
 
 void published_reader::on_answer(time_point now) {
-  if (failures_ > 0) {
+  if (failures_ > 0 && has_listed_ && now - failing_since_ >= settings_.shortest_lapse) {
     state_.on_store_recovered(now);
   }
   failures_ = 0;
@@ -131,11 +135,19 @@
   return std::min(grown, settings_.max_gather);
 }
 
+duration published_reader::choose_watch() {
+  const duration mean =
+      std::min(settings_.watch, settings_.watch_per_node * static_cast<std::int64_t>(fleet_size_));
+  const duration length = from_seconds(to_seconds(mean) * -std::log(1 - random_.uniform()));
+  return std::clamp(length, std::min(settings_.confirming_watch, settings_.watch), settings_.watch);
+}
+
 void published_reader::restart_listing(bool may_be_stale) {
   is_listing_ = true;
   may_be_stale_ = may_be_stale;
   listing_.clear();
   listing_revision_ = 0;
+  newest_page_revision_ = 0;
   after_key_.clear();
 }
 
--- a/nutmegarch/membership/published_reader.h
+++ b/nutmegarch/membership/published_reader.h
@@ -32,8 +32,13 @@
 
 /// Settings of published_reader.
 struct published_reader_settings {
-  /// Longest time that the store waits for changes before it answers a watch.
+  /// Longest time that the store waits for changes before it answers a watch. The lengths of
+  /// watches are random, distributed exponentially.
   duration watch = std::chrono::seconds(30);
+  /// Mean time until the first watch of the fleet ends when all have begun at the same time, as after each
+  /// change. When the store's answers to all nodes are lost, that node learns of it, and its peers from it.
+  /// The mean length of a watch is this times the number of nodes, at most `watch`.
+  duration watch_per_node = std::chrono::milliseconds(500);
   /// The same for a watch that confirms a listing that may be stale, or that tells whether the store is
   /// reachable again.
   duration confirming_watch = std::chrono::milliseconds(100);
@@ -47,6 +52,9 @@
   /// Pause after the first failure. It doubles with each further one up to `longest_pause`, and is jittered.
   duration first_pause = std::chrono::milliseconds(500);
   duration longest_pause = std::chrono::seconds(4);
+  /// Entries of targets that live can expire while the store is away for this long: the entry of one that was
+  /// about to write expires two of its 1.5 s intervals later. A shorter absence starts no grace period.
+  duration shortest_lapse = std::chrono::seconds(3);
   /// A watch that has not returned a change which a peer has learned from the store is abandoned after this
   /// time. It is longer than a slow store takes for an answer, and leaves room for the exchange with the peer
   /// within the 2.5 s after which changes must be in force.
@@ -83,8 +91,7 @@
   void on_failure(time_point now);
   /// A peer has learned from the store of a change of this revision.
   void on_peer_change(std::uint64_t revision, time_point now);
-  /// The request in progress is abandoned because is_silent() is true. The next one is due at once, but after
-  /// a pause when the request before was abandoned too.
+  /// The request in progress is abandoned because is_silent() is true. The next one is due at once.
   void on_silence(time_point now);
   /// The process was suspended. The request in progress is abandoned, and the next one is due at once.
   void on_pause();
@@ -97,7 +104,8 @@
     return is_open_ && request.request_id == last_request_id_;
   }
   /// True when the watch in progress should have returned a change that a peer knows. Its connection is dead
-  /// then, and must not be used again.
+  /// then, and must not be used again. The watch after an abandoned one is never silent: the store may be
+  /// slow, and a late answer is better than none.
   bool is_silent(time_point now) const;
   /// Revision of the newest change that a peer has learned from the store.
   std::uint64_t peer_revision() const { return peer_revision_; }
@@ -109,6 +117,8 @@
  private:
   void on_answer(time_point now);
   duration gather() const;
+  /// How long the next watch waits.
+  duration choose_watch();
   void restart_listing(bool may_be_stale);
 
   published_reader_settings settings_;
@@ -122,9 +132,10 @@
   bool may_be_stale_ = false;
   bool has_listed_ = false;
   bool is_current_ = false;
-  /// Items of the pages received so far, and the lowest revision at which a page was read.
+  /// Items of the pages received so far, and the lowest and highest revisions at which a page was read.
   std::vector<published_item> listing_;
   std::uint64_t listing_revision_ = 0;
+  std::uint64_t newest_page_revision_ = 0;
   std::string after_key_;
   /// Revision after which the next watch returns changes.
   std::uint64_t watched_revision_ = 0;
@@ -137,6 +148,8 @@
   bool was_silent_ = false;
   std::size_t fleet_size_ = 1;
   int failures_ = 0;
+  /// When the first of the consecutive failed requests was sent.
+  time_point failing_since_{};
 };
 
 }  // namespace nutmegarch::membership
