Test that a node without answers takes over the limit of its target from its callers

A restarted node in virtual time now ends its calls without a report, as a lost connection does, and the case over the fleet is named after what it checks.

--- a/performance_test/virtual_time/fake_node.cpp
+++ b/performance_test/virtual_time/fake_node.cpp
@@ -114,7 +114,10 @@
   inbound_.clear();
   for (const std::pair<const std::uint64_t, inbound>& call : lost) {
     target_.release(call.second.handle);
-    respond(call.second, call_outcome::unknown, call_reason::connection_lost);
+    // The connections of the calls end without an answer, and so without a report.
+    policy::attempt_answer lost_answer;
+    lost_answer.reason = call_reason::connection_lost;
+    call.second.answer(lost_answer);
   }
 }
 
--- a/unit_tests/policy/target_limit_test.cpp
+++ b/unit_tests/policy/target_limit_test.cpp
@@ -65,12 +65,12 @@
 }
 
 /// Largest number of arrivals in a window that begins between the two moments.
-double most_arrivals(const fake_node& node, time_point from, time_point to) {
+double most_arrivals(const fake_node& node, time_point from, time_point to, duration length = window) {
   const std::vector<time_point>& all = node.arrivals();
   std::ptrdiff_t most = 0;
   for (auto first = std::lower_bound(all.begin(), all.end(), from); first != all.end() && *first < to;
        ++first) {
-    most = std::max(most, std::lower_bound(first, all.end(), *first + window) - first);
+    most = std::max(most, std::lower_bound(first, all.end(), *first + length) - first);
   }
   return static_cast<double>(most);
 }
@@ -172,18 +172,43 @@
 }
 
 // Guards against a node that restarts beside a target in need and has forgotten its limit.
-BOOST_AUTO_TEST_CASE(a_restarted_node_learns_the_limit_from_its_callers) {
+BOOST_AUTO_TEST_CASE(a_node_without_answers_takes_over_the_limit_from_its_callers) {
+  // Shorter than the service time, so that the node has no answer of its own target yet.
+  constexpr duration before_answers = milliseconds(50);
+  limited_fleet limited(1);
+  fake_node& started = *limited.fleet.nodes().front();
+  for (int i = 0; i < 300; ++i) {
+    call_context context;
+    context.route = browse;
+    context.remaining = seconds(1);
+    context.known_target_rate = target_rate{limit, seconds(2)};
+    started.receive(context, std::make_shared<tracked_request>(), [](const policy::attempt_answer&) {});
+  }
+  limited.fleet.events().run_until(limited.begin + before_answers);
+  BOOST_TEST(started.arrivals().size() <= slack + limit * to_seconds(before_answers));
+}
+
+BOOST_AUTO_TEST_CASE(a_restart_beside_a_target_in_need_does_not_exceed_its_limit) {
+  // Shorter than the service time, so that the restarted node has no answer of its own target yet.
+  constexpr duration before_answers = milliseconds(100);
+  constexpr std::array<duration, 2> restarts = {seconds(10), seconds(15)};
   limited_fleet limited(4);
   limited.name_rate(limited.named_after, limit, 4);
-  // Between two windows, twice, once in the burst of a lost connection.
-  for (const duration at : {seconds(10), seconds(15)}) {
-    limited.fleet.events().after(at, [&]() { limited.fleet.nodes().front()->restart_receiver(); });
+  fake_node& restarted = *limited.fleet.nodes().front();
+  for (const duration at : restarts) {
+    limited.fleet.events().after(at, [&]() { restarted.restart_receiver(); });
   }
-  mesh_callers callers(limited.fleet, requests(600));
+  mesh_callers callers(limited.fleet, requests(1'200));
   callers.run(limited.length, seconds(0));
   for (const std::unique_ptr<fake_node>& node : limited.fleet.nodes()) {
     BOOST_TEST(most_arrivals(*node, limited.counted_from, limited.end) <= max_arrivals(limit));
   }
+  for (const duration at : restarts) {
+    // Its callers may leave it out for a while at first, because they have lost calls to it.
+    const time_point from = limited.begin + at;
+    BOOST_TEST(most_arrivals(restarted, from, from + settle_time, before_answers) <=
+               slack + limit * to_seconds(before_answers));
+  }
 }
 
 BOOST_AUTO_TEST_CASE(orders_are_served_first_under_a_limit) {
