Send no new calls to a target process whose answers say that it leaves

What callers saw: a server that says in its answers that it leaves (header Server-Leaving) went on receiving requests from every node until its entry in the store said draining or was gone, and again when an older or newer entry said ready again.

Cause: nothing read the header. The node beside the server and the nodes where requests begin kept two separate flags, both copied from the last listing, so that each listing undid whatever was known.

Change: policy/departure_registry joins the signs (entry, answers, entry removed; closed connections for the log only) with their ages, and replaces both flags. What a process has announced holds until a process of the same name with a newer start is known; a removed entry counts until it is back. http_dialect decodes the header for answers of the called server only (not for 421, not for unsigned bytes). The answer between nodes carries it with the start of the process (Answer @18; @16 and @17 are reserved), also the refusal by the node beside the server, so that the node where the request began knows it before it passes the answer on, and tries another server at once. Calls that already wait at the receiver still run; without another server callers get 503.

New: properties of the registry in virtual time, retries, hedges, tickets and pauses at the sender, decoding of the header, the field on the wire and in the fuzz test. A server whose entry is removed while it serves on was left alone before and still is; that is tested now.

--- a/nutmegarch/core/message.h
+++ b/nutmegarch/core/message.h
@@ -29,6 +29,8 @@
   int status = 0;
   headers fields;
   std::string body;
+  /// The sender of the answer closes the connection after it. Ignored in an answer to be sent.
+  bool closes_connection = false;
 };
 
 /// Value of the first header with this name, ignoring case; empty when there is none.
--- a/nutmegarch/http/conversion.cpp
+++ b/nutmegarch/http/conversion.cpp
@@ -52,6 +52,7 @@
   answer_message answer;
   answer.status = static_cast<int>(message.result_int());
   answer.fields = read_fields(message);
+  answer.closes_connection = !message.keep_alive();
   answer.body = std::move(message.body());
   return answer;
 }
--- a/nutmegarch/membership/endpoint_table.cpp
+++ b/nutmegarch/membership/endpoint_table.cpp
@@ -17,8 +17,8 @@
 /// Separates host and instance in a key. Neither of them contains it.
 constexpr char key_separator = '\t';
 
-std::string key_of(const published_host& host) {
-  return host.instance.empty() ? host.host : host.host + key_separator + host.instance;
+std::string key_of(const std::string& host, const std::string& instance) {
+  return instance.empty() ? host : host + key_separator + instance;
 }
 
 /// True when the key belongs to a target process of the host.
@@ -34,7 +34,7 @@
   std::vector<policy::endpoint_ptr> endpoints;
   std::set<std::string> listed;
   for (const published_host& host : list.hosts) {
-    const std::string key = key_of(host);
+    const std::string key = key_of(host.host, host.instance);
     listed.insert(key);
     policy::endpoint_ptr& known = by_key_[key];
     if (!known || known->address != host.peer_address ||
@@ -52,7 +52,7 @@
     known->distance = proximity_to(host);
     known->slots = host.slots;
     known->published_load = host.load;
-    known->published_leaving = host.leaving;
+    known->target_leaving = host.leaving;
     known->weight = weight_from(rules, host.host);
     endpoints.push_back(known);
   }
@@ -88,6 +88,13 @@
   }
 }
 
+void endpoint_table::on_target_leaving(const std::string& host, const policy::target_process& process) {
+  auto found = by_key_.find(key_of(host, process.instance));
+  if (found != by_key_.end() && found->second->process_started_ms <= process.started_ms) {
+    found->second->target_leaving = true;
+  }
+}
+
 policy::endpoint_ptr endpoint_table::find(const std::string& host) const {
   auto found = by_key_.lower_bound(host);
   return found == by_key_.end() || !is_key_of(found->first, host) ? nullptr : found->second;
--- a/nutmegarch/membership/endpoint_table.h
+++ b/nutmegarch/membership/endpoint_table.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "nutmegarch/membership/host_list.h"
+#include "nutmegarch/policy/departure_registry.h"
 #include "nutmegarch/policy/endpoint.h"
 #include "nutmegarch/rules/rule_table.h"
 
@@ -43,6 +44,9 @@
   /// previous one.
   void on_report(const self_report& report);
 
+  /// A target process of the host is leaving. Does not apply to a newer process of the same instance.
+  void on_target_leaving(const std::string& host, const policy::target_process& process);
+
   /// The first endpoint of a host; null when there is none.
   policy::endpoint_ptr find(const std::string& host) const;
 
--- a/nutmegarch/node/edge_dialect.h
+++ b/nutmegarch/node/edge_dialect.h
@@ -45,6 +45,8 @@
   bool is_not_run = false;
   /// Whether another target process has taken over the address; the request was not run.
   bool is_other_instance = false;
+  /// Whether the target process that was called says in the answer that it is leaving.
+  bool is_leaving = false;
   std::optional<target_load> load;
 };
 
--- a/nutmegarch/node/inbound_path.cpp
+++ b/nutmegarch/node/inbound_path.cpp
@@ -5,6 +5,7 @@
 
 #include "nutmegarch/core/hash.h"
 #include "nutmegarch/http/address.h"
+#include "nutmegarch/node/departure_log.h"
 #include "nutmegarch/node/routed_call.h"
 #include "nutmegarch/node/target_message.h"
 
@@ -266,11 +267,11 @@
   if (state_.is_revalidating(now)) {
     return refuse(call_reason::revalidating);
   }
-  if (!context.instance.empty()) {
-    auto published = state_.local_instances.find(context.instance);
-    if (published != state_.local_instances.end() && published->second) {
-      return refuse(call_reason::leaving);
-    }
+  // The caller learns of the departure from the refusal, and sends the call to another target at once.
+  if (!context.instance.empty() && state_.departures.is_leaving({context.instance, 0})) {
+    protocol::peer_answer content = refuse(call_reason::leaving);
+    content.leaving_process_started_ms = state_.departures.announced_start({context.instance, 0});
+    return content;
   }
   const rules::rule* const quarantine = table->find_quarantine(context.fingerprint);
   if (quarantine != nullptr) {
@@ -409,6 +410,7 @@
       keys_by_deadline_.insert({call->deadline, call->key});
     }
     found->second.last_resumed = now;
+    found->second.process_started_ms = state_.departures.newest_start(call->context.instance);
     timeout = call->deadline == never ? state_.settings.calls.max_timeout : call->deadline - now;
     state_.events.add(observe::event_kind::call_started, call->context.id, call->context.route, "");
   }
@@ -452,6 +454,7 @@
             : interpret_target_answer(std::move(outcome), found->second.call->context.idempotent,
                                       found->second.is_cancelled);
     protocol::peer_answer& content = answered.content;
+    take_departure(found->second, answered, now);
     record_order_result(found->second, content, now);
 
     // A connection that is lost during a call may mean that the call crashed the target.
@@ -477,6 +480,26 @@
   run_deferred(deferred);
 }
 
+void inbound_path::take_departure(const call_entry& ended, target_answer& answered, time_point now) {
+  const call_context& context = ended.call->context;
+  if (context.instance.empty() || !answered.content.reached_target ||
+      answered.content.reason == call_reason::other_instance || state_.settings.pass_through) {
+    return;
+  }
+  const policy::target_process process = {context.instance, ended.process_started_ms};
+  if (answered.closes_connection) {
+    take_departure_sign(state_, state_.settings.identity.host, process,
+                        policy::departure_sign::closed_connection, context.attempt_id, now);
+  }
+  if (answered.is_leaving) {
+    take_departure_sign(state_, state_.settings.identity.host, process, policy::departure_sign::answered,
+                        context.attempt_id, now);
+    answered.content.leaving_process_started_ms = process.started_ms;
+  } else {
+    answered.content.leaving_process_started_ms = state_.departures.announced_start(process);
+  }
+}
+
 void inbound_path::check_target() {
   target_.preconnect([self = shared_from_this()](bool is_reachable) {
     deferred_work deferred;
--- a/nutmegarch/node/inbound_path.h
+++ b/nutmegarch/node/inbound_path.h
@@ -9,6 +9,7 @@
 
 #include "nutmegarch/http/client_pool.h"
 #include "nutmegarch/node/node_state.h"
+#include "nutmegarch/node/target_message.h"
 #include "nutmegarch/protocol/peer_messages.h"
 
 namespace nutmegarch::node {
@@ -94,6 +95,8 @@
     /// Identifies the exchange with the target; 0 before the exchange has begun.
     std::uint64_t exchange_id = 0;
     bool is_cancelled = false;
+    /// Start of the target process that the call was sent to, in milliseconds; 0 when unknown.
+    std::int64_t process_started_ms = 0;
     /// Number of child calls that have not ended.
     int open_children = 0;
     /// When the target last continued with the call: at its start, or when a child call ended.
@@ -135,6 +138,9 @@
   /// Checks whether the target has crashed by connecting to it. If it has, records a crash for each suspect
   /// request and calls the crash listener.
   void check_target();
+  /// Takes the sign that the target process is leaving, if its answer has one, and sets in `answered` that
+  /// the process has announced it. Requires the state's lock.
+  void take_departure(const call_entry& ended, target_answer& answered, time_point now);
   void record_order_result(const call_entry& ended, const protocol::peer_answer& content, time_point now);
   void fill_report(protocol::peer_answer& content, const std::string& route) const;
   int count_active_targets() const;
--- a/nutmegarch/node/node_state.h
+++ b/nutmegarch/node/node_state.h
@@ -14,6 +14,7 @@
 #include "nutmegarch/observe/metrics.h"
 #include "nutmegarch/observe/timeline.h"
 #include "nutmegarch/policy/crash_suspects.h"
+#include "nutmegarch/policy/departure_registry.h"
 #include "nutmegarch/policy/downstream_levels.h"
 #include "nutmegarch/policy/inner_route_detector.h"
 #include "nutmegarch/policy/rule_enforcer.h"
@@ -61,9 +62,7 @@
   routes::weighted_round_robin splits;
   request_log requests;
   policy::inner_route_detector inner_routes;
-  /// Published processes of the target beside this node, by instance; true if the process is leaving or has
-  /// left.
-  std::map<std::string, bool> local_instances;
+  policy::departure_registry departures;
   /// Number of calls that each rule was applied to since the rules are in force, by line in the rule file.
   std::map<int, std::uint64_t> rule_match_counts;
   /// Until this time the view of the peers may be outdated and calls are refused.
--- a/nutmegarch/node/outbound_path.cpp
+++ b/nutmegarch/node/outbound_path.cpp
@@ -1,9 +1,11 @@
 #include "nutmegarch/node/outbound_path.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "nutmegarch/core/hash.h"
 #include "nutmegarch/http/problem.h"
+#include "nutmegarch/node/departure_log.h"
 #include "nutmegarch/node/header_names.h"
 #include "nutmegarch/node/routed_call.h"
 
@@ -36,6 +38,7 @@
   answer.route_level = from.route_level;
   answer.has_downstream_calls = from.has_downstream_calls;
   answer.reached_target = from.reached_target;
+  answer.target_leaving = from.leaving_process_started_ms.has_value();
   answer.size = from.message.body.size() + message_overhead_bytes;
   return answer;
 }
@@ -387,9 +390,12 @@
     if (found == calls_.end()) {
       return;
     }
+    const policy::endpoint_ptr to = found->second.call->attempts.at(attempt).to;
     policy::attempt_answer answer;
     if (succeeded(outcome)) {
       const protocol::peer_answer& content = std::get<protocol::peer_answer>(outcome);
+      // Before the answer is passed on: from then on the caller may rely on this node's knowing it.
+      take_departure(content, *to, found->second.call->context);
       state_.stamps.merge(content.stamp);
       answer = to_attempt_answer(content);
       found->second.last_rule = content.rule;
@@ -397,7 +403,6 @@
     } else {
       answer = make_error_answer(std::get<protocol::peer_error>(outcome));
     }
-    const policy::endpoint_ptr to = found->second.call->attempts.at(attempt).to;
     const bool was_ejected = state_.clock.now() < to->ejected_until;
     const policy::outbound_call_ptr call = found->second.call;
     state_.sender.on_answer(call, attempt, answer, state_.clock.now(), actions);
@@ -410,6 +415,17 @@
   run_actions(actions);
 }
 
+void outbound_path::take_departure(const protocol::peer_answer& content, const policy::endpoint& from,
+                                   const call_context& context) {
+  if (!content.leaving_process_started_ms || from.instance.empty() || state_.settings.pass_through) {
+    return;
+  }
+  // Whichever of the two nodes knows the newer process knows the one that answered.
+  const std::int64_t started_ms = std::max(*content.leaving_process_started_ms, from.process_started_ms);
+  take_departure_sign(state_, from.host, {from.instance, started_ms}, policy::departure_sign::answered,
+                      context.attempt_id, state_.clock.now());
+}
+
 std::uint64_t outbound_path::child_key(const built_call& built, const request_message& request) const {
   // An idempotency key set by the target identifies the child order; otherwise its body does.
   const std::string order_key = find_header(request.fields, header_names::idempotency_key);
--- a/nutmegarch/node/outbound_path.h
+++ b/nutmegarch/node/outbound_path.h
@@ -79,6 +79,10 @@
   void complete(const policy::sender_action& action);
   void on_attempt_ended(std::uint64_t key, std::size_t attempt,
                         const result<protocol::peer_answer, protocol::peer_error>& outcome);
+  /// Records that the target process has announced that it leaves, if the answer says so. Requires the
+  /// state's lock.
+  void take_departure(const protocol::peer_answer& content, const policy::endpoint& from,
+                      const call_context& context);
   std::uint64_t child_key(const built_call& built, const request_message& request) const;
 
   node_state& state_;
--- a/nutmegarch/node/routed_call.cpp
+++ b/nutmegarch/node/routed_call.cpp
@@ -111,6 +111,8 @@
   const target_answer_fields verdict = dialect.read_target_answer(message);
   target_answer answer;
   answer.load = verdict.load;
+  answer.is_leaving = verdict.is_leaving;
+  answer.closes_connection = message.closes_connection;
   answer.content.reached_target = true;
   if (verdict.is_other_instance || verdict.is_not_run) {
     answer.result = policy::target_result::refused;
--- a/nutmegarch/node/store_synchronizer.cpp
+++ b/nutmegarch/node/store_synchronizer.cpp
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 
 #include "nutmegarch/core/hash.h"
+#include "nutmegarch/node/departure_log.h"
 #include "nutmegarch/observe/log.h"
 
 namespace nutmegarch::node {
@@ -22,8 +23,6 @@
 /// bandwidth, but at least some messages.
 constexpr duration link_burst_time = std::chrono::seconds(1);
 constexpr double min_link_burst_bytes = 16'000;
-/// Number of processes of the local target that are remembered, including those that have left.
-constexpr std::size_t max_local_instances = 64;
 /// Number of changed routes that are logged for each configuration.
 constexpr int max_logged_routes = 32;
 
@@ -267,7 +266,9 @@
 }
 
 void store_synchronizer::apply_hosts(const std::string& from) {
-  const std::vector<membership::published_host> hosts = read_hosts();
+  const time_point now = state_.clock.now();
+  std::vector<membership::published_host> hosts = read_hosts();
+  apply_departures(hosts, from, now);
 
   // A service that has lost all its targets gets an empty list.
   std::map<std::string, membership::host_list> by_service;
@@ -280,7 +281,6 @@
     by_service[host.service].hosts.push_back(host);
     addresses.insert(host.peer_address);
   }
-  const time_point now = state_.clock.now();
   for (const std::pair<const std::string, membership::host_list>& service : by_service) {
     state_.sender.set_endpoints(
         service.first, state_.endpoints.apply(service.first, service.second, *state_.rules.table(), now));
@@ -293,11 +293,24 @@
   state_.endpoints.on_report({state_.settings.identity.host, state_.incarnation, state_.leaving});
   apply_local_target(hosts);
   update_hosts_document();
+}
 
-  // Log the changes.
+void store_synchronizer::apply_departures(std::vector<membership::published_host>& hosts,
+                                          const std::string& from, time_point now) {
+  std::vector<policy::listed_process> listing;
   std::map<std::string, bool> leaving;
   for (const membership::published_host& host : hosts) {
+    listing.push_back({{host.instance, host.process_started_ms}, host.leaving});
     leaving[host.instance] = host.leaving;
+  }
+  state_.departures.on_listing(listing, now);
+
+  // Log the changes.
+  const std::string revision = std::to_string(store_copy_.revision());
+  const std::function<std::string(const std::string&)> age = [&](const std::string& instance) {
+    return departure_age_text(state_.departures, instance, policy::departure_sign::answered, now);
+  };
+  for (const membership::published_host& host : hosts) {
     auto previous = leaving_by_instance_.find(host.instance);
     if (previous == leaving_by_instance_.end() || previous->second != host.leaving) {
       observe::log_event(observe::log_level::info, host.leaving ? "target-leaving" : "target-listed",
@@ -305,7 +318,8 @@
                           {"service", host.service},
                           {"address", host.address},
                           {"domain", host.domain},
-                          {"revision", std::to_string(store_copy_.revision())},
+                          {"answered_ms", age(host.instance)},
+                          {"revision", revision},
                           {"from", from}});
     }
   }
@@ -313,11 +327,16 @@
     if (leaving.count(previous.first) == 0) {
       observe::log_event(observe::log_level::info, "target-gone",
                          {{"instance", previous.first},
-                          {"revision", std::to_string(store_copy_.revision())},
+                          {"answered_ms", age(previous.first)},
+                          {"revision", revision},
                           {"from", from}});
     }
   }
   leaving_by_instance_ = std::move(leaving);
+
+  for (membership::published_host& host : hosts) {
+    host.leaving = state_.departures.is_leaving({host.instance, host.process_started_ms});
+  }
 }
 
 void store_synchronizer::set_retry_budget_share(std::size_t nodes) {
@@ -345,28 +364,10 @@
 
 void store_synchronizer::apply_local_target(const std::vector<membership::published_host>& hosts) {
   for (const membership::published_host& host : hosts) {
-    if (host.address != state_.settings.target.address) {
-      continue;
-    }
-    state_.local_instances[host.instance] = host.leaving;
-    if (!host.leaving) {
+    if (host.address == state_.settings.target.address && !host.leaving) {
       state_.receiver.set_slots(host.slots);
     }
   }
-  // A process that is no longer listed has left.
-  for (std::pair<const std::string, bool>& known : state_.local_instances) {
-    const bool is_listed =
-        std::any_of(hosts.begin(), hosts.end(), [&](const membership::published_host& host) {
-          return host.instance == known.first && host.address == state_.settings.target.address;
-        });
-    known.second = known.second || !is_listed;
-  }
-  // Only processes that have left are forgotten. A call to one of these is sent to the current process, which
-  // rejects it because the instance name differs.
-  for (auto it = state_.local_instances.begin();
-       it != state_.local_instances.end() && state_.local_instances.size() > max_local_instances;) {
-    it = it->second ? state_.local_instances.erase(it) : std::next(it);
-  }
 }
 
 void store_synchronizer::update_hosts_document() {
--- a/nutmegarch/node/store_synchronizer.h
+++ b/nutmegarch/node/store_synchronizer.h
@@ -51,7 +51,11 @@
   void apply_hosts(const std::string& from);
   /// Parses the entries of the local copy.
   std::vector<membership::published_host> read_hosts();
-  /// Applies the entries of the target beside this node: its slots, and which of its processes are leaving.
+  /// Sets `leaving` of the hosts whose target process is leaving by any sign. `from` says in the log where
+  /// the change came from.
+  void apply_departures(std::vector<membership::published_host>& hosts, const std::string& from,
+                        time_point now);
+  /// Applies the slots of the target beside this node.
   void apply_local_target(const std::vector<membership::published_host>& hosts);
   /// Sets this node's share of the fleet's retry budget. `nodes`: the size of the fleet.
   void set_retry_budget_share(std::size_t nodes);
@@ -73,6 +77,7 @@
   std::map<std::string, membership::published_host> newest_hosts_;
   /// Revisions of unreadable entries, by key, so that each is logged once.
   std::map<std::string, std::uint64_t> unreadable_entries_;
+  /// What the published entries of the last listing say about leaving.
   std::map<std::string, bool> leaving_by_instance_;
   bool is_store_reachable_ = true;
   std::string peer_port_;
--- a/nutmegarch/node/target_message.h
+++ b/nutmegarch/node/target_message.h
@@ -18,6 +18,10 @@
 struct target_answer {
   protocol::peer_answer content;
   policy::target_result result = policy::target_result::answered;
+  /// The target process says that it is leaving.
+  bool is_leaving = false;
+  /// The target closes the connection after the answer.
+  bool closes_connection = false;
   /// Load that the target reported with the answer; nullopt when it reported none.
   std::optional<target_load> load;
 };
--- a/nutmegarch/policy/endpoint.h
+++ b/nutmegarch/policy/endpoint.h
@@ -32,7 +32,6 @@
   double weight = 1;
   /// Load published by the platform, which arrives late.
   double published_load = 0;
-  bool published_leaving = false;
   /// Start of the target process on the platform's clock, in milliseconds; 0 when unknown.
   std::int64_t process_started_ms = 0;
   /// @}
@@ -43,6 +42,8 @@
   std::uint64_t incarnation = 0;
   /// The last report of the node says that it takes no new calls.
   bool reported_leaving = false;
+  /// The target process is leaving, by its published entry or its answers.
+  bool target_leaving = false;
   /// Open attempts of this node at the endpoint.
   int outstanding = 0;
   /// Load on the last answer.
@@ -70,7 +71,7 @@
   /// @}
 
   /// True when the endpoint must not receive new calls.
-  bool leaving() const { return reported_leaving || published_leaving || weight <= 0; }
+  bool leaving() const { return reported_leaving || target_leaving || weight <= 0; }
 };
 
 using endpoint_ptr = boost::intrusive_ptr<endpoint>;
--- a/nutmegarch/policy/sender.cpp
+++ b/nutmegarch/policy/sender.cpp
@@ -103,6 +103,10 @@
 
   // Update the state of the endpoint, also when the answer arrives too late for the caller.
   service_state& service = state_of(call->context.service);
+  // The baseline uses only the published state.
+  if (answer.target_leaving && !settings_.pass_through) {
+    answered.to->target_leaving = true;
+  }
   if (answer.reason == call_reason::other_instance) {
     answered.to->stale_address_until = now + settings_.stale_address_time;
   }
@@ -189,7 +193,7 @@
   std::vector<endpoint*> far;
   if (settings_.pass_through) {
     for (const endpoint_ptr& candidate : service.endpoints()) {
-      if (!candidate->published_leaving) {
+      if (!candidate->target_leaving) {
         near.push_back(candidate.get());
       }
     }
--- a/nutmegarch/policy/service_state.h
+++ b/nutmegarch/policy/service_state.h
@@ -27,6 +27,8 @@
   std::size_t size = 0;
   /// True when the call was written to the target. A refusal by the node beside the target does not count.
   bool reached_target = true;
+  /// True when the target process has announced that it leaves.
+  bool target_leaving = false;
 };
 
 /// State of the sender for one service that it calls: its endpoints, the reports in their answers, and the
--- a/nutmegarch/protocol/codec.cpp
+++ b/nutmegarch/protocol/codec.cpp
@@ -141,6 +141,9 @@
   to.setTicketSequence(from.ticket ? from.ticket->sequence : 0);
   to.setRule(from.rule);
   to.setReachedTarget(from.reached_target);
+  if (from.leaving_process_started_ms) {
+    to.initTargetLeaving().setStartedMs(*from.leaving_process_started_ms);
+  }
   to.setStamp(from.stamp);
 }
 
@@ -162,6 +165,9 @@
   }
   answer.rule = to_text(from.getRule());
   answer.reached_target = from.getReachedTarget();
+  if (from.hasTargetLeaving()) {
+    answer.leaving_process_started_ms = std::max<std::int64_t>(0, from.getTargetLeaving().getStartedMs());
+  }
   answer.stamp = from.getStamp();
   return answer;
 }
--- a/nutmegarch/protocol/peer.capnp
+++ b/nutmegarch/protocol/peer.capnp
@@ -61,6 +61,15 @@
   stamp @14 :UInt64;
   # The call was written to the target. It counts as an arrival there, whether or not the target answered.
   reachedTarget @15 :Bool;
+  reserved16 @16 :Void;
+  reserved17 @17 :Void;
+  # Set when the target process that the call names has announced that it leaves.
+  targetLeaving @18 :Departure;
+}
+
+struct Departure {
+  # Start of the process on the platform's clock, in milliseconds; 0 when unknown.
+  startedMs @0 :Int64;
 }
 
 struct DocumentStamp {
--- a/nutmegarch/protocol/peer.capnp.h
+++ b/nutmegarch/protocol/peer.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(fc76acbf35f157dd);
 CAPNP_DECLARE_SCHEMA(96763fd35775f1a2);
 CAPNP_DECLARE_SCHEMA(e99de4fcf75f38e6);
+CAPNP_DECLARE_SCHEMA(d2fd4ad3cd1ceda2);
 CAPNP_DECLARE_SCHEMA(8e5ee99f00feaaf7);
 CAPNP_DECLARE_SCHEMA(b0eb0668877d4860);
 CAPNP_DECLARE_SCHEMA(eb206332fd821a44);
@@ -97,7 +98,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e99de4fcf75f38e6, 6, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(e99de4fcf75f38e6, 6, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Departure {
+  Departure() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d2fd4ad3cd1ceda2, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -771,6 +787,13 @@
 
   inline bool getReachedTarget() const;
 
+  inline  ::capnp::Void getReserved16() const;
+
+  inline  ::capnp::Void getReserved17() const;
+
+  inline bool hasTargetLeaving() const;
+  inline  ::nutmegarch::protocol::wire::Departure::Reader getTargetLeaving() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -859,6 +882,19 @@
   inline bool getReachedTarget();
   inline void setReachedTarget(bool value);
 
+  inline  ::capnp::Void getReserved16();
+  inline void setReserved16( ::capnp::Void value = ::capnp::VOID);
+
+  inline  ::capnp::Void getReserved17();
+  inline void setReserved17( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool hasTargetLeaving();
+  inline  ::nutmegarch::protocol::wire::Departure::Builder getTargetLeaving();
+  inline void setTargetLeaving( ::nutmegarch::protocol::wire::Departure::Reader value);
+  inline  ::nutmegarch::protocol::wire::Departure::Builder initTargetLeaving();
+  inline void adoptTargetLeaving(::capnp::Orphan< ::nutmegarch::protocol::wire::Departure>&& value);
+  inline ::capnp::Orphan< ::nutmegarch::protocol::wire::Departure> disownTargetLeaving();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -877,6 +913,83 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::nutmegarch::protocol::wire::Departure::Pipeline getTargetLeaving();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Departure::Reader {
+public:
+  typedef Departure Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getStartedMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Departure::Builder {
+public:
+  typedef Departure Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getStartedMs();
+  inline void setStartedMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Departure::Pipeline {
+public:
+  typedef Departure Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2900,6 +3013,87 @@
       ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::capnp::Void Answer::Reader::getReserved16() const {
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void Answer::Builder::getReserved16() {
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setReserved16( ::capnp::Void value) {
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::capnp::Void Answer::Reader::getReserved17() const {
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void Answer::Builder::getReserved17() {
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setReserved17( ::capnp::Void value) {
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Answer::Reader::hasTargetLeaving() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Answer::Builder::hasTargetLeaving() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::nutmegarch::protocol::wire::Departure::Reader Answer::Reader::getTargetLeaving() const {
+  return ::capnp::_::PointerHelpers< ::nutmegarch::protocol::wire::Departure>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::nutmegarch::protocol::wire::Departure::Builder Answer::Builder::getTargetLeaving() {
+  return ::capnp::_::PointerHelpers< ::nutmegarch::protocol::wire::Departure>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::nutmegarch::protocol::wire::Departure::Pipeline Answer::Pipeline::getTargetLeaving() {
+  return  ::nutmegarch::protocol::wire::Departure::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void Answer::Builder::setTargetLeaving( ::nutmegarch::protocol::wire::Departure::Reader value) {
+  ::capnp::_::PointerHelpers< ::nutmegarch::protocol::wire::Departure>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::nutmegarch::protocol::wire::Departure::Builder Answer::Builder::initTargetLeaving() {
+  return ::capnp::_::PointerHelpers< ::nutmegarch::protocol::wire::Departure>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Answer::Builder::adoptTargetLeaving(
+    ::capnp::Orphan< ::nutmegarch::protocol::wire::Departure>&& value) {
+  ::capnp::_::PointerHelpers< ::nutmegarch::protocol::wire::Departure>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::nutmegarch::protocol::wire::Departure> Answer::Builder::disownTargetLeaving() {
+  return ::capnp::_::PointerHelpers< ::nutmegarch::protocol::wire::Departure>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t Departure::Reader::getStartedMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Departure::Builder::getStartedMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Departure::Builder::setStartedMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool DocumentStamp::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/nutmegarch/protocol/peer_messages.h
+++ b/nutmegarch/protocol/peer_messages.h
@@ -38,6 +38,9 @@
   std::string rule;
   /// The call was written to the target, whether or not the target answered.
   bool reached_target = false;
+  /// Start of the target process that the call names, in milliseconds, if the process has announced that it
+  /// leaves; 0 when the start is unknown.
+  std::optional<std::int64_t> leaving_process_started_ms;
   /// Hybrid logical clock of the sender.
   std::uint64_t stamp = 0;
 };
--- a/stand_ins/server_stand_in.cpp
+++ b/stand_ins/server_stand_in.cpp
@@ -280,7 +280,7 @@
     std::string text =
         "HTTP/1.1 " + std::to_string(status) + " Answer\r\nNutmegarch-Attempt-Id: " + id +
         "\r\nNutmegarch-Response-Signature: " + hexadecimal(checksum(id + std::to_string(status) + body)) +
-        "\r\nNutmegarch-Server-Load: " + gate_.load() + "\r\n";
+        "\r\nNutmegarch-Server-Load: " + gate_.load() + "\r\n" + leaving_field();
     if (is_chunked) {
       std::ostringstream size;
       size << std::hex << body.size();
@@ -306,9 +306,12 @@
     return write(socket, "HTTP/1.1 " + std::to_string(status) +
                              " Rejected\r\nNutmegarch-Not-Executed: 1\r\nContent-Length: 0\r\n" +
                              "Nutmegarch-Attempt-Id: " + id + "\r\nNutmegarch-Server-Load: " + gate_.load() +
-                             "\r\n\r\n");
+                             "\r\n" + leaving_field() + "\r\n");
   }
 
+  /// Header line of the answers of a server that leaves.
+  std::string leaving_field() const { return share("leaving") > 0 ? "Server-Leaving: 1\r\n" : ""; }
+
   static bool write(tcp::socket& socket, const std::string& text) {
     boost::system::error_code error;
     boost::asio::write(socket, boost::asio::buffer(text), error);
--- a/unit_tests/fuzz/format_fuzz_test.cpp
+++ b/unit_tests/fuzz/format_fuzz_test.cpp
@@ -84,6 +84,7 @@
   protocol::peer_answer answer;
   answer.message = {200, {{"A", "b"}}, "body"};
   answer.rule = "quarantine";
+  answer.leaving_process_started_ms = 1'000;
   capnp::MallocMessageBuilder answer_builder;
   protocol::write(answer, answer_builder.initRoot<protocol::wire::Answer>());
   protocol::peer_exchange exchange;
@@ -112,6 +113,7 @@
       BOOST_REQUIRE(decoded.outcome <= call_outcome::failed);
       BOOST_REQUIRE(decoded.reason <= last_call_reason);
       BOOST_REQUIRE(std::isfinite(decoded.report.load));
+      BOOST_REQUIRE(decoded.leaving_process_started_ms.value_or(0) >= 0);
       ++read;
     });
     read_wire<protocol::wire::Exchange>(random.mutate(exchange_bytes),
--- a/unit_tests/platform/published_format_test.cpp
+++ b/unit_tests/platform/published_format_test.cpp
@@ -164,6 +164,26 @@
                   .is_from_target);
 }
 
+BOOST_AUTO_TEST_CASE(answer_says_that_its_own_server_leaves) {
+  const http_dialect dialect;
+  const header leaving = {"server-leaving", "1"};
+  const header signature = {"Nutmegarch-Response-Signature", "x"};
+  const header not_executed = {"Nutmegarch-Not-Executed", "1"};
+  BOOST_TEST(dialect.read_target_answer({200, {signature, leaving}, ""}).is_leaving);
+  BOOST_TEST(dialect.read_target_answer({503, {not_executed, leaving}, ""}).is_leaving);
+  BOOST_TEST(!dialect.read_target_answer({200, {signature}, ""}).is_leaving);
+  for (const char* const value : {"", "0", "10", "true", "1,1"}) {
+    BOOST_TEST(!dialect.read_target_answer({200, {signature, {"Server-Leaving", value}}, ""}).is_leaving);
+  }
+
+  // Another instance at the address speaks for itself, and bytes of unknown origin for nobody.
+  BOOST_TEST(!dialect.read_target_answer({421, {leaving}, ""}).is_leaving);
+  BOOST_TEST(!dialect.read_target_answer({421, {not_executed, leaving}, ""}).is_leaving);
+  BOOST_TEST(!dialect.read_target_answer({502, {leaving}, ""}).is_leaving);
+  BOOST_TEST(
+      !dialect.read_target_answer({200, {signature, leaving, {"Content-Encoding", "gzip"}}, ""}).is_leaving);
+}
+
 BOOST_AUTO_TEST_CASE(server_load_has_three_or_four_numbers) {
   const http_dialect dialect;
   const node::target_answer_fields verdict =
--- a/unit_tests/policy/sender_test.cpp
+++ b/unit_tests/policy/sender_test.cpp
@@ -175,6 +175,48 @@
   }
 }
 
+// Guards against calls that reach a target after its answer said that it leaves: as retries, as hedges, by
+// tickets, and after a pause of the node.
+BOOST_FIXTURE_TEST_CASE(target_that_says_that_it_leaves_gets_no_call_of_any_kind, fixture) {
+  const std::vector<endpoint_ptr> endpoints = make_endpoints(2);
+  tested.set_endpoints("s", endpoints);
+  const outbound_call_ptr first = make_call(begin + std::chrono::seconds(1), true);
+  tested.start(first, begin, actions);
+  const endpoint_ptr left = first->attempts.front().to;
+  attempt_answer refused = make_answer(call_outcome::not_run, call_reason::target_refused);
+  refused.target_leaving = true;
+  tested.on_answer(first, 0, refused, begin, actions);
+  BOOST_REQUIRE(first->attempts.size() == 2U);
+  BOOST_TEST(first->attempts.at(1).to != left);
+
+  tested.forget_reports();
+  time_point now = begin;
+  for (int i = 0; i < 50; ++i) {
+    now += std::chrono::minutes(1);
+    const outbound_call_ptr call = make_call(now + std::chrono::seconds(1), true);
+    BOOST_TEST(tested.choose_ticket_issuer(call->context, now) != left);
+    sender_actions made;
+    tested.start(call, now, made);
+    tested.on_tick(now + std::chrono::milliseconds(500), made);
+    BOOST_TEST(call->attempts.size() == 1U);
+    BOOST_TEST(call->attempts.front().to != left);
+    tested.on_answer(call, 0, make_answer(call_outcome::ok), now, made);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(call_of_a_service_whose_targets_all_leave_is_not_sent, fixture) {
+  const std::vector<endpoint_ptr> endpoints = make_endpoints(2);
+  tested.set_endpoints("s", endpoints);
+  for (const endpoint_ptr& leaving : endpoints) {
+    leaving->target_leaving = true;
+  }
+  const outbound_call_ptr call = make_call(begin + std::chrono::seconds(1), false);
+  tested.start(call, begin, actions);
+  BOOST_TEST(call->attempts.empty());
+  BOOST_REQUIRE(find(sender_action::kind::complete) != nullptr);
+  BOOST_TEST((find(sender_action::kind::complete)->outcome == call_outcome::not_run));
+}
+
 BOOST_FIXTURE_TEST_CASE(at_most_half_of_the_endpoints_are_ejected, fixture) {
   const std::vector<endpoint_ptr> endpoints = make_endpoints(4);
   tested.set_endpoints("s", endpoints);
--- a/unit_tests/protocol/peer_network_test.cpp
+++ b/unit_tests/protocol/peer_network_test.cpp
@@ -117,6 +117,22 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(answer_carries_the_start_of_a_target_process_that_leaves) {
+  for (const std::int64_t started_ms : {std::int64_t{0}, std::int64_t{1'733'380'000'123}}) {
+    peer_answer answer;
+    answer.leaving_process_started_ms = started_ms;
+    capnp::MallocMessageBuilder builder;
+    wire::Answer::Builder written = builder.initRoot<wire::Answer>();
+    write(answer, written);
+    BOOST_REQUIRE(read(written.asReader()).leaving_process_started_ms.has_value());
+    BOOST_TEST(*read(written.asReader()).leaving_process_started_ms == started_ms);
+  }
+  capnp::MallocMessageBuilder builder;
+  wire::Answer::Builder written = builder.initRoot<wire::Answer>();
+  write(peer_answer{}, written);
+  BOOST_TEST(!read(written.asReader()).leaving_process_started_ms.has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(call_returns_the_answer_to_it, two_networks) {
   const result<peer_answer, peer_error> outcome = call(address, "GET /a");
   BOOST_REQUIRE(succeeded(outcome));
