--- a/nutmegarch/membership/published_reader.cpp
+++ b/nutmegarch/membership/published_reader.cpp
@@ -18,6 +18,7 @@
     return {};
   }
   is_open_ = true;
+  sent_ = now;
   store_request request;
   request.request_id = ++last_request_id_;
   if (is_listing_) {
@@ -27,7 +28,7 @@
   } else {
     request.what = store_request::kind::watch;
     request.revision = watched_revision_;
-    request.wait = settings_.watch;
+    request.wait = is_current_ ? settings_.watch : settings_.confirming_watch;
   }
   return request;
 }
@@ -45,6 +46,8 @@
   }
   const bool changed = state_.replace(listing_, listing_revision_, now);
   watched_revision_ = listing_revision_;
+  is_current_ = !may_be_stale_;
+  has_listed_ = true;
   restart_listing(false);
   is_listing_ = false;
   return changed;
@@ -53,6 +56,7 @@
 bool published_reader::on_changes(const std::vector<published_item>& changes, std::uint64_t revision,
                                   time_point now) {
   on_answer(now);
+  is_current_ = true;
   watched_revision_ = std::max(watched_revision_, revision);
   if (!changes.empty()) {
     next_request_time_ = now + gather();
@@ -62,24 +66,50 @@
 
 void published_reader::on_history_lost(time_point now) {
   on_answer(now);
+  is_current_ = false;
   // A stale listing may be older than the oldest change that the store still has.
   restart_listing(false);
 }
 
 void published_reader::on_failure(time_point now) {
   is_open_ = false;
+  is_current_ = false;
   const int doublings = std::min(failures_, max_doublings);
   const duration pause =
       std::min(settings_.longest_pause, settings_.first_pause * (std::int64_t{1} << doublings));
   next_request_time_ = now + from_seconds(to_seconds(pause) * (0.5 + random_.uniform()));
   ++failures_;
   if (is_listing_) {
-    restart_listing(may_be_stale_);
+    restart_listing(!has_listed_);
+  }
+}
+
+void published_reader::on_peer_change(std::uint64_t revision, time_point now) {
+  if (peer_revision_ <= watched_revision_ && revision > watched_revision_) {
+    behind_since_ = now;
+  }
+  peer_revision_ = std::max(peer_revision_, revision);
+}
+
+bool published_reader::is_silent(time_point now) const {
+  return is_open_ && !is_listing_ && peer_revision_ > watched_revision_ &&
+         now - std::max(sent_, behind_since_) >= settings_.silence_patience;
+}
+
+void published_reader::on_silence(time_point now) {
+  if (was_silent_) {
+    on_failure(now);
+    return;
   }
+  was_silent_ = true;
+  is_open_ = false;
+  is_current_ = false;
+  next_request_time_ = now;
 }
 
 void published_reader::on_pause() {
   is_open_ = false;
+  is_current_ = false;
   next_request_time_ = time_point{};
   if (is_listing_) {
     restart_listing(may_be_stale_);
@@ -91,6 +121,7 @@
     state_.on_store_recovered(now);
   }
   failures_ = 0;
+  was_silent_ = false;
   is_open_ = false;
 }
 
--- a/nutmegarch/membership/published_reader.h
+++ b/nutmegarch/membership/published_reader.h
@@ -34,6 +34,9 @@
 struct published_reader_settings {
   /// Longest time that the store waits for changes before it answers a watch.
   duration watch = std::chrono::seconds(30);
+  /// The same for a watch that confirms a listing that may be stale, or that tells whether the store is
+  /// reachable again.
+  duration confirming_watch = std::chrono::milliseconds(100);
   /// Pause between the end of a watch with changes and the next watch, so that one answer returns all changes
   /// of a burst. It applies to a fleet of `gather_fleet_size` nodes and grows with the square root of the
   /// fleet's size, so that the calls of all nodes grow more slowly than the fleet. It is at most
@@ -44,10 +47,15 @@
   /// Pause after the first failure. It doubles with each further one up to `longest_pause`, and is jittered.
   duration first_pause = std::chrono::milliseconds(500);
   duration longest_pause = std::chrono::seconds(4);
+  /// A watch that has not returned a change which a peer has learned from the store is abandoned after this
+  /// time. It is longer than a slow store takes for an answer, and leaves room for the exchange with the peer
+  /// within the 2.5 s after which changes must be in force.
+  duration silence_patience = std::chrono::milliseconds(600);
 };
 
 /// Decides which request to send to the platform's store, and when. It reads a listing page by page, then
-/// watches for changes, and reads a new listing when the store has lost the history of changes. At most one
+/// watches for changes, and reads a new listing when the store has lost the history of changes. A first
+/// listing that failed is read again as one that may be stale, and confirmed by a short watch. At most one
 /// request is in progress at a time. No I/O; not thread-safe.
 class published_reader {
  public:
@@ -73,14 +81,28 @@
   void on_history_lost(time_point now);
   /// The store did not answer or refused the request.
   void on_failure(time_point now);
+  /// A peer has learned from the store of a change of this revision.
+  void on_peer_change(std::uint64_t revision, time_point now);
+  /// The request in progress is abandoned because is_silent() is true. The next one is due at once, but after
+  /// a pause when the request before was abandoned too.
+  void on_silence(time_point now);
   /// The process was suspended. The request in progress is abandoned, and the next one is due at once.
   void on_pause();
   /// @}
 
+  /// True when the store's last answer was not stale and no failure, loss of history or pause came after it.
+  bool is_current() const { return is_current_; }
   /// True when the request is the one in progress.
   bool is_open(const store_request& request) const {
     return is_open_ && request.request_id == last_request_id_;
   }
+  /// True when the watch in progress should have returned a change that a peer knows. Its connection is dead
+  /// then, and must not be used again.
+  bool is_silent(time_point now) const;
+  /// Revision of the newest change that a peer has learned from the store.
+  std::uint64_t peer_revision() const { return peer_revision_; }
+  /// When the request in progress was sent.
+  time_point sent() const { return sent_; }
   /// Number of consecutive failures.
   int failures() const { return failures_; }
 
@@ -95,7 +117,11 @@
   bool is_open_ = false;
   std::uint64_t last_request_id_ = 0;
   bool is_listing_ = true;
-  bool may_be_stale_ = true;
+  /// The first listing is stale only if the store did not answer another one: its age is not known, and a
+  /// node that has just started must not act on an old one.
+  bool may_be_stale_ = false;
+  bool has_listed_ = false;
+  bool is_current_ = false;
   /// Items of the pages received so far, and the lowest revision at which a page was read.
   std::vector<published_item> listing_;
   std::uint64_t listing_revision_ = 0;
@@ -103,6 +129,12 @@
   /// Revision after which the next watch returns changes.
   std::uint64_t watched_revision_ = 0;
   time_point next_request_time_{};
+  time_point sent_{};
+  std::uint64_t peer_revision_ = 0;
+  /// Since when a peer has known a change that this node has not.
+  time_point behind_since_{};
+  /// True when the request before was abandoned as silent.
+  bool was_silent_ = false;
   std::size_t fleet_size_ = 1;
   int failures_ = 0;
 };
--- a/nutmegarch/node/outbound_path.cpp
+++ b/nutmegarch/node/outbound_path.cpp
@@ -38,7 +38,6 @@
   answer.route_level = from.route_level;
   answer.has_downstream_calls = from.has_downstream_calls;
   answer.reached_target = from.reached_target;
-  answer.target_leaving = from.leaving_process_started_ms.has_value();
   answer.size = from.message.body.size() + message_overhead_bytes;
   return answer;
 }
@@ -394,10 +393,10 @@
     policy::attempt_answer answer;
     if (succeeded(outcome)) {
       const protocol::peer_answer& content = std::get<protocol::peer_answer>(outcome);
-      // Before the answer is passed on: from then on the caller may rely on this node's knowing it.
-      take_departure(content, *to, found->second.call->context);
       state_.stamps.merge(content.stamp);
       answer = to_attempt_answer(content);
+      // Before the answer is passed on: from then on the caller may rely on this node's knowing it.
+      answer.target_leaving = take_departure(content, *to, found->second.call->context);
       found->second.last_rule = content.rule;
       found->second.answers[attempt] = content;
     } else {
@@ -415,15 +414,18 @@
   run_actions(actions);
 }
 
-void outbound_path::take_departure(const protocol::peer_answer& content, const policy::endpoint& from,
+bool outbound_path::take_departure(const protocol::peer_answer& content, const policy::endpoint& from,
                                    const call_context& context) {
   if (!content.leaving_process_started_ms || from.instance.empty() || state_.settings.pass_through) {
-    return;
+    return false;
   }
-  // Whichever of the two nodes knows the newer process knows the one that answered.
-  const std::int64_t started_ms = std::max(*content.leaving_process_started_ms, from.process_started_ms);
+  // The node beside the target may not know yet that a newer process has replaced the one that left, so that
+  // only a start that it does not know at all is taken from here.
+  const std::int64_t told_ms = *content.leaving_process_started_ms;
+  const std::int64_t started_ms = told_ms == 0 ? from.process_started_ms : told_ms;
   take_departure_sign(state_, from.host, {from.instance, started_ms}, policy::departure_sign::answered,
                       context.attempt_id, state_.clock.now());
+  return from.process_started_ms <= started_ms;
 }
 
 std::uint64_t outbound_path::child_key(const built_call& built, const request_message& request) const {
--- a/nutmegarch/node/routed_call.cpp
+++ b/nutmegarch/node/routed_call.cpp
@@ -51,12 +51,13 @@
 
 std::variant<built_call, call_reason> build_routed_call(node_state& state, const edge_dialect& dialect,
                                                         const request_message& request, time_point now) {
-  if (!state.routes) {
+  if (!state.routes || !state.view.may_serve(now)) {
     return call_reason::not_configured;
   }
   const routes::route* const route = state.routes->find(request.authority, request.target);
   if (route == nullptr) {
-    return call_reason::no_route;
+    // An old view may lack a route that was added since.
+    return state.view.is_confirmed(now) ? call_reason::no_route : call_reason::not_configured;
   }
   const caller_fields caller_info = dialect.read_caller(request.fields);
   if (caller_info.is_malformed) {
@@ -113,6 +114,8 @@
   answer.load = verdict.load;
   answer.is_leaving = verdict.is_leaving;
   answer.closes_connection = message.closes_connection;
+  answer.max_request_rate = verdict.max_request_rate;
+  answer.names_no_rate = verdict.names_no_rate;
   answer.content.reached_target = true;
   if (verdict.is_other_instance || verdict.is_not_run) {
     answer.result = policy::target_result::refused;
--- a/nutmegarch/protocol/peer.capnp
+++ b/nutmegarch/protocol/peer.capnp
@@ -28,6 +28,10 @@
   attemptId @17 :Text;
   instance @18 :Text;
   inner @19 :Bool;
+  # Requests per second that the target takes, as the sender has learned it, and the time since the target
+  # named it. 0: not known.
+  targetRate @20 :Float64;
+  targetRateAge @21 :Int64;
 }
 
 struct Header {
@@ -61,8 +65,9 @@
   stamp @14 :UInt64;
   # The call was written to the target. It counts as an arrival there, whether or not the target answered.
   reachedTarget @15 :Bool;
-  reserved16 @16 :Void;
-  reserved17 @17 :Void;
+  # Requests per second that the target takes, and the time since it named them. 0: no limit is known.
+  targetRate @16 :Float64;
+  targetRateAge @17 :Int64;
   # Set when the target process that the call names has announced that it leaves.
   targetLeaving @18 :Departure;
 }
@@ -97,6 +102,9 @@
   documents @4 :List(Document);
   marks @5 :List(CrashMark);
   stamp @6 :UInt64;
+  # Revision of the newest change that the platform's store has told the sender of; 0 if the store does not
+  # confirm the sender's view now.
+  storeRevision @7 :UInt64;
 }
 
 interface Peer {
--- a/nutmegarch/protocol/peer.capnp.h
+++ b/nutmegarch/protocol/peer.capnp.h
@@ -53,7 +53,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f9509f592e8d67d5, 8, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(f9509f592e8d67d5, 10, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -98,7 +98,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e99de4fcf75f38e6, 6, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(e99de4fcf75f38e6, 8, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -173,7 +173,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f03d1315d37be1ff, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f03d1315d37be1ff, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -389,6 +389,10 @@
 
   inline bool getInner() const;
 
+  inline double getTargetRate() const;
+
+  inline  ::int64_t getTargetRateAge() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -497,6 +501,12 @@
   inline bool getInner();
   inline void setInner(bool value);
 
+  inline double getTargetRate();
+  inline void setTargetRate(double value);
+
+  inline  ::int64_t getTargetRateAge();
+  inline void setTargetRateAge( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -787,9 +797,9 @@
 
   inline bool getReachedTarget() const;
 
-  inline  ::capnp::Void getReserved16() const;
+  inline double getTargetRate() const;
 
-  inline  ::capnp::Void getReserved17() const;
+  inline  ::int64_t getTargetRateAge() const;
 
   inline bool hasTargetLeaving() const;
   inline  ::nutmegarch::protocol::wire::Departure::Reader getTargetLeaving() const;
@@ -882,11 +892,11 @@
   inline bool getReachedTarget();
   inline void setReachedTarget(bool value);
 
-  inline  ::capnp::Void getReserved16();
-  inline void setReserved16( ::capnp::Void value = ::capnp::VOID);
+  inline double getTargetRate();
+  inline void setTargetRate(double value);
 
-  inline  ::capnp::Void getReserved17();
-  inline void setReserved17( ::capnp::Void value = ::capnp::VOID);
+  inline  ::int64_t getTargetRateAge();
+  inline void setTargetRateAge( ::int64_t value);
 
   inline bool hasTargetLeaving();
   inline  ::nutmegarch::protocol::wire::Departure::Builder getTargetLeaving();
@@ -1302,6 +1312,8 @@
 
   inline  ::uint64_t getStamp() const;
 
+  inline  ::uint64_t getStoreRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1367,6 +1379,9 @@
   inline  ::uint64_t getStamp();
   inline void setStamp( ::uint64_t value);
 
+  inline  ::uint64_t getStoreRevision();
+  inline void setStoreRevision( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2491,6 +2506,34 @@
       ::capnp::bounded<162>() * ::capnp::ELEMENTS, value);
 }
 
+inline double CallContext::Reader::getTargetRate() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline double CallContext::Builder::getTargetRate() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void CallContext::Builder::setTargetRate(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t CallContext::Reader::getTargetRateAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CallContext::Builder::getTargetRateAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void CallContext::Builder::setTargetRateAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3013,32 +3056,32 @@
       ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::capnp::Void Answer::Reader::getReserved16() const {
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline double Answer::Reader::getTargetRate() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline  ::capnp::Void Answer::Builder::getReserved16() {
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline double Answer::Builder::getTargetRate() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void Answer::Builder::setReserved16( ::capnp::Void value) {
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Answer::Builder::setTargetRate(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::capnp::Void Answer::Reader::getReserved17() const {
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int64_t Answer::Reader::getTargetRateAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-inline  ::capnp::Void Answer::Builder::getReserved17() {
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int64_t Answer::Builder::getTargetRateAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void Answer::Builder::setReserved17( ::capnp::Void value) {
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Answer::Builder::setTargetRateAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Answer::Reader::hasTargetLeaving() const {
@@ -3449,6 +3492,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Exchange::Reader::getStoreRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Exchange::Builder::getStoreRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Exchange::Builder::setStoreRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/unit_tests/platform/platform_path_test.cpp
+++ b/unit_tests/platform/platform_path_test.cpp
@@ -16,6 +16,7 @@
 #include "platform/adapter.h"
 #include "stand_ins/store_stand_in.h"
 #include "unit_tests/http/endless_peer.h"
+#include "unit_tests/http/scripted_peer.h"
 #include "unit_tests/loopback.h"
 
 namespace nutmegarch::platform_adapter {
@@ -24,8 +25,11 @@
 
 constexpr std::chrono::seconds wait_timeout{30};
 
-bool wait_for(const std::function<bool()>& condition) {
-  const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + wait_timeout;
+/// Within this time a change that the store has acknowledged must be in force.
+constexpr std::chrono::milliseconds change_bound{2'500};
+
+bool wait_for(const std::function<bool()>& condition, duration timeout = wait_timeout) {
+  const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + timeout;
   while (std::chrono::steady_clock::now() < end) {
     if (condition()) {
       return true;
@@ -65,6 +69,9 @@
       return;
     }
     fields.push_back({"Nutmegarch-Response-Signature", "s"});
+    if (!named_limit_.empty()) {
+      fields.push_back({"Server-Limit", named_limit_});
+    }
     answer({200, fields, instance_ + ' ' + request.target + ' ' + request.body});
   }
 
@@ -85,6 +92,20 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     is_holding_ = is_holding;
   }
+  /// Value of the field `Server-Limit` in further answers; empty for none.
+  void set_named_limit(const std::string& limit) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    named_limit_ = limit;
+  }
+  /// Answers the held requests with an error, and holds no more.
+  void release() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    is_holding_ = false;
+    for (const answer_callback& held : held_answers_) {
+      held({500, {}, ""});
+    }
+    held_answers_.clear();
+  }
   int runs() const {
     const std::lock_guard<std::mutex> lock(mutex_);
     return runs_;
@@ -102,6 +123,7 @@
  private:
   mutable std::mutex mutex_;
   std::string instance_;
+  std::string named_limit_;
   request_message last_request_;
   std::vector<answer_callback> held_answers_;
   int runs_ = 0;
@@ -129,6 +151,45 @@
   return text + "]}";
 }
 
+/// Values of entries that name no server to use. One of them has the address of a server, and a service that
+/// no configuration names.
+std::vector<std::string> odd_entry_values(const std::string& taken_address) {
+  const auto entry = [](const std::string& service, const std::string& address, const std::string& slots,
+                        const std::string& born) {
+    return R"({"Service": ")" + service + R"(", "Address": ")" + address +
+           R"(", "Zone": "z", "Version": "v1", "Slots": )" + slots +
+           R"(, "State": "ready", "ColdRemainingMs": 0, "Sequence": 1, "born": )" + born + "}";
+  };
+  constexpr const char* address = "127.99.0.1:20001";
+  std::vector<std::string> values = {"",
+                                     "null",
+                                     "[]",
+                                     "\xFF\xFE not UTF-8",
+                                     std::string("\0\0\0", 3),
+                                     std::string(100'000, '['),
+                                     std::string(100'000, '9'),
+                                     R"({"Service": "shop", "Slots": )" + std::string(400, '9') + "}",
+                                     entry("ghost", taken_address, "4", "2000")};
+  std::string nested = "1";
+  for (int i = 0; i < 1'000; ++i) {
+    nested = R"({"a": )" + nested + "}";
+  }
+  values.push_back(nested);
+  for (const char* const slots :
+       {"1e999", "1e300", "-1", "0", "1.5", "true", "99999999999999999999", "2147483647"}) {
+    values.push_back(entry("shop", address, slots, "1000"));
+  }
+  for (const char* const odd_address :
+       {"127.99.0.1:0", "127.99.0.1:65536", "127.99.0.1:99999999999999999999", "127.99.0.1:-1", "127.99.0.1",
+        "0.0.0.0:20001", "255.255.255.255:20001", "224.0.0.1:20001", "[::]:20001", "nowhere:20001", ""}) {
+    values.push_back(entry("shop", odd_address, "4", "1000"));
+  }
+  for (const char* const born : {"1e999", "1e300", "-1", "1.5", "\"soon\"", "{}"}) {
+    values.push_back(entry("shop", taken_address, "4", born));
+  }
+  return values;
+}
+
 /// Two hosts, each with a server and a node, and the metadata store.
 struct small_platform {
   /// Declared first, so that it outlives the store and the servers: they hold answers whose connections use
@@ -238,10 +299,62 @@
     BOOST_REQUIRE(wait_for([&]() { return is_ready(index); }));
   }
 
+  /// Replaces the server of a host by one that answers by a script, and restarts the host's node.
+  void replace_by_scripted_server(std::size_t index, const http::scripted_peer::script& script) {
+    nodes.erase(index);
+    http_servers_.at(index)->stop();
+    const boost::asio::ip::tcp::endpoint address =
+        *http::parse_address(ip_of(peer_addresses_.at(index)) + ":20001");
+    BOOST_REQUIRE(wait_for([&]() {
+      try {
+        scripted_peer_ = std::make_unique<http::scripted_peer>(script, address);
+      } catch (const boost::system::system_error&) {
+        // The address is still taken.
+      }
+      return scripted_peer_ != nullptr;
+    }));
+    start_node(index);
+    BOOST_REQUIRE(wait_for([&]() { return is_ready(index); }));
+  }
+
   std::string metrics(std::size_t index) const {
     return send(ip_of(peer_addresses_.at(index)) + ":20003", {"GET", "/metrics", {}, ""}).body;
   }
 
+  /// Writes odd entries among those of the servers.
+  void put_odd_entries() {
+    int number = 0;
+    for (const std::string& value : odd_entry_values(ip_of(peer_addresses_.at(0)) + ":20001")) {
+      store.put("servers/odd-" + std::to_string(++number), value);
+    }
+    const std::string valid = R"({"Service": "shop", "Address": "127.99.0.1:20001", "Zone": "z", )"
+                              R"("Version": "v1", "Slots": 4, "State": "ready", "ColdRemainingMs": 0, )"
+                              R"("Sequence": 1, "born": 1000})";
+    for (const char* const key : {"servers/", "servers/a b", "servers/a\r\nX-Odd: 1", "servers/\xC3\xA9",
+                                  "servers/a\tb", "servers"}) {
+      store.put(key, valid);
+    }
+    store.put("servers/" + std::string(192, 'k'), "{");
+  }
+
+  /// True if a node has taken the changes so far: it applies a configuration that is published now.
+  bool follows_changes(std::size_t index, int version) {
+    const std::string path = "/at" + std::to_string(version) + "/";
+    publish(version, {route_json("look", "/look/", "shop", "idempotent"),
+                      route_json("buy", "/buy/", "shop", "non_idempotent"),
+                      route_json("new", path, "shop", "idempotent")});
+    return wait_for([&]() { return send_request(index, "GET", path).status == 200; });
+  }
+
+  /// Number of requests, of some sent to the node, that each of the servers ran.
+  std::array<int, 2> runs_of_requests_to(std::size_t index) {
+    const std::array<int, 2> before = {servers.at(0)->runs(), servers.at(1)->runs()};
+    for (int i = 0; i < 40; ++i) {
+      BOOST_TEST(send_request(index, "POST", "/buy/1").status == 200);
+    }
+    return {servers.at(0)->runs() - before.at(0), servers.at(1)->runs() - before.at(1)};
+  }
+
   answer_message send_request(std::size_t index, const std::string& method, const std::string& path,
                               headers fields = {}, const std::string& body = "") {
     static std::atomic<int> last_id{0};
@@ -257,6 +370,36 @@
            200;
   }
 
+  /// Stops the node of a host, publishes a configuration with the further route "/added/" to the other one,
+  /// and lets cheap reads return what was before.
+  void publish_added_route_without(std::size_t stopped) {
+    nodes.erase(stopped);
+    publish(2, {route_json("look", "/look/", "shop", "idempotent"),
+                route_json("added", "/added/", "shop", "idempotent")});
+    BOOST_REQUIRE(wait_for([&]() { return send_request(1 - stopped, "GET", "/added/").status == 200; }));
+    store.set_cheap_lag(1);
+  }
+
+  /// The watch of a node stays open and returns nothing; that of the other node works.
+  void silence_the_watch_of(std::size_t index) {
+    BOOST_REQUIRE(wait_for([&]() { return store.open_watches() == 2; }));
+    store.set_watches_silent(true);
+    store.set_watches_silent(false);
+    nodes.erase(1 - index);
+    start_node(1 - index);
+    BOOST_REQUIRE(wait_for([&]() { return send_request(1 - index, "GET", "/look/1").status == 200; }));
+  }
+
+  /// Sends requests until one is served; false if one is answered 404, or none is served.
+  bool is_never_denied_and_served(std::size_t index, const std::string& path) {
+    int status = 0;
+    return wait_for([&]() {
+             status = send_request(index, "GET", path).status;
+             return status == 200 || status == 404;
+           }) &&
+           status == 200;
+  }
+
   int runs() const { return servers.at(0)->runs() + servers.at(1)->runs(); }
   int new_runs() const { return runs() - initial_runs_; }
 
@@ -296,6 +439,7 @@
   std::vector<std::string> peer_addresses_;
   std::vector<std::unique_ptr<http::server>> http_servers_;
   std::unique_ptr<http::endless_peer> endless_peer_;
+  std::unique_ptr<http::scripted_peer> scripted_peer_;
   std::thread thread_;
   int initial_runs_ = 0;
   int last_version_ = 1;
@@ -331,6 +475,34 @@
   }
 };
 
+/// Callers that send requests to both hosts of a platform without a pause, until their end.
+class steady_callers {
+ public:
+  explicit steady_callers(small_platform& platform) {
+    for (std::size_t i = 0; i < caller_count; ++i) {
+      threads_.emplace_back([this, &platform, i]() {
+        while (!is_ended_) {
+          platform.send_request(i % 2, "GET", "/look/1");
+        }
+      });
+    }
+  }
+  steady_callers(const steady_callers&) = delete;
+  steady_callers& operator=(const steady_callers&) = delete;
+  ~steady_callers() {
+    is_ended_ = true;
+    for (std::thread& thread : threads_) {
+      thread.join();
+    }
+  }
+
+ private:
+  static constexpr std::size_t caller_count = 6;
+
+  std::atomic<bool> is_ended_{false};
+  std::vector<std::thread> threads_;
+};
+
 /// A fleet with many more hosts and rare gossip, so that two given nodes rarely exchange by chance.
 struct large_platform : small_platform {
   large_platform() : small_platform(std::chrono::minutes(1)) {
@@ -392,6 +564,107 @@
   BOOST_TEST(send_request(0, "GET", "/look/1").status == 200);
 }
 
+// Guards against a fleet that stops following the servers because another writer left odd entries among them.
+BOOST_FIXTURE_TEST_CASE(odd_entries_in_changes_leave_the_others_in_force, small_platform) {
+  put_odd_entries();
+  for (std::size_t index = 0; index < 2; ++index) {
+    BOOST_TEST(follows_changes(index, 2 + static_cast<int>(index)));
+    const std::array<int, 2> seen = runs_of_requests_to(index);
+    BOOST_TEST(seen.at(0) > 0);
+    BOOST_TEST(seen.at(1) > 0);
+  }
+  register_server("i-0", 0, "draining");
+  BOOST_TEST(follows_changes(1, 4));
+  BOOST_TEST(runs_of_requests_to(1).at(0) == 0);
+}
+
+// Guards against processes that end, or start without servers, because of odd entries in the first listing.
+BOOST_FIXTURE_TEST_CASE(odd_entries_in_a_listing_leave_the_others_in_force, small_platform) {
+  put_odd_entries();
+  for (std::size_t index = 0; index < 2; ++index) {
+    nodes.erase(index);
+    start_node(index, false);
+    BOOST_REQUIRE(wait_for([&]() { return is_ready(index); }));
+    BOOST_TEST(follows_changes(index, 2 + static_cast<int>(index)));
+    const std::array<int, 2> seen = runs_of_requests_to(index);
+    BOOST_TEST(seen.at(0) > 0);
+    BOOST_TEST(seen.at(1) > 0);
+  }
+}
+
+// Guards against nodes that refuse all that a peer knows, because bytes of one entry are no text.
+BOOST_FIXTURE_TEST_CASE(odd_entries_in_the_document_of_a_peer_leave_the_others_in_force, small_platform) {
+  put_odd_entries();
+  BOOST_REQUIRE(follows_changes(0, 2));
+  store.set_mode(stand_ins::store_stand_in::mode::refuses);
+  nodes.erase(1);
+  start_node(1);
+  BOOST_TEST(wait_for([&]() { return is_ready(1) && send_request(1, "GET", "/look/1").status == 200; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(ten_thousand_odd_entries_leave_the_others_in_force, small_platform) {
+  constexpr int entry_count = 10'000;
+  store.set_mode(stand_ins::store_stand_in::mode::refuses);
+  for (int i = 0; i < entry_count; ++i) {
+    store.put("servers/odd-" + std::to_string(i), "[[[[ \xFF " + std::to_string(i));
+  }
+  store.set_mode(stand_ins::store_stand_in::mode::good);
+  BOOST_TEST(follows_changes(0, 2));
+  const std::array<int, 2> seen = runs_of_requests_to(0);
+  BOOST_TEST(seen.at(0) > 0);
+  BOOST_TEST(seen.at(1) > 0);
+}
+
+// Guards against orders that a server runs although their caller is told that they have not run.
+BOOST_FIXTURE_TEST_CASE(earlier_refusal_on_a_kept_connection_is_not_believed, small_platform) {
+  std::atomic<int> orders{0};
+  replace_by_scripted_server(
+      1, [&](int, int request, const http::scripted_peer::request_type& content) -> http::scripted_reply {
+        const std::string id(content["Nutmegarch-Attempt-Id"]);
+        if (content.method() == boost::beast::http::verb::post && request > 1) {
+          ++orders;
+          return {"HTTP/1.1 503 Busy\r\nNutmegarch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+        }
+        return {"HTTP/1.1 200 OK\r\nNutmegarch-Attempt-Id: " + id +
+                "\r\nNutmegarch-Response-Signature: s\r\nContent-Length: 3\r\n\r\nran"};
+      });
+  for (int i = 0; i < 40; ++i) {
+    const int before = orders + servers.at(0)->runs();
+    const int status = send_request(i % 2, "POST", "/buy/1").status;
+    BOOST_TEST((status == 200 || status == 502));
+    BOOST_TEST(orders + servers.at(0)->runs() - before <= 1);
+    send_request(i % 2, "GET", "/look/1");
+  }
+  BOOST_TEST(orders > 0);
+}
+
+// Guards against short successes: a server stops in the middle of its answer and closes.
+BOOST_FIXTURE_TEST_CASE(answer_that_a_server_cut_is_neither_a_success_nor_a_refusal, small_platform) {
+  const std::string body = "abcdefghijkl";
+  std::atomic<std::size_t> size{0};
+  std::atomic<int> cuts{0};
+  std::string whole;
+  replace_by_scripted_server(
+      1, [&](int, int, const http::scripted_peer::request_type& content) -> http::scripted_reply {
+        whole = "HTTP/1.1 200 OK\r\nNutmegarch-Attempt-Id: " + std::string(content["Nutmegarch-Attempt-Id"]) +
+                "\r\nNutmegarch-Response-Signature: s.1\r\nContent-Length: 12\r\n\r\n" + body;
+        if (content.method() != boost::beast::http::verb::post) {
+          return {whole};
+        }
+        ++cuts;
+        size = (size + 7) % whole.size();
+        return {whole.substr(0, size),
+                cuts % 2 == 0 ? http::scripted_reply::next::close : http::scripted_reply::next::reset};
+      });
+  for (int i = 0; i < 60; ++i) {
+    const int before = cuts;
+    const answer_message answer = send_request(i % 2, "POST", "/buy/1");
+    BOOST_TEST(answer.status == (cuts > before ? 502 : 200), "after " << size << " bytes");
+    send_request(i % 2, "GET", "/look/1");
+  }
+  BOOST_TEST(cuts > 0);
+}
+
 // Guards against requests to instances that have ended: after all hosts had restarted with new server
 // processes at the old addresses, requests named the old instances until their entries in the store expired.
 BOOST_FIXTURE_TEST_CASE(new_instance_at_an_address_replaces_the_old_one, small_platform) {
@@ -431,6 +704,38 @@
   BOOST_TEST(metrics(1).find("nutmegarch_unfinished_answer_bytes 0") != std::string::npos);
 }
 
+// Guards against requests beyond the rate that a server in need names in its answers.
+BOOST_FIXTURE_TEST_CASE(server_that_names_a_limit_receives_requests_at_this_rate_until_it_names_none,
+                        small_platform) {
+  constexpr double limit = 40;
+  constexpr std::chrono::milliseconds window{2'000};
+  const steady_callers callers(*this);
+  for (const std::unique_ptr<fake_server>& server : servers) {
+    server->set_named_limit("40.0");
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  const std::array<int, 2> before = {servers.at(0)->runs(), servers.at(1)->runs()};
+  std::this_thread::sleep_for(window);
+  for (std::size_t i = 0; i < servers.size(); ++i) {
+    const double seconds = std::chrono::duration<double>(window).count();
+    const int arrivals = servers.at(i)->runs() - before.at(i);
+    BOOST_TEST(arrivals <= 1.5 * limit * seconds + 5);
+    BOOST_TEST(arrivals >= 0.5 * limit * seconds);
+  }
+
+  for (const std::unique_ptr<fake_server>& server : servers) {
+    server->set_named_limit("");
+  }
+  constexpr std::chrono::milliseconds unlimited_window{500};
+  const double most_at_limit =
+      2 * (1.5 * limit * std::chrono::duration<double>(unlimited_window).count() + 5);
+  BOOST_TEST(wait_for([&]() {
+    const int runs_before = runs();
+    std::this_thread::sleep_for(unlimited_window);
+    return runs() - runs_before > most_at_limit;
+  }));
+}
+
 BOOST_FIXTURE_TEST_CASE(draining_server_receives_no_requests, small_platform) {
   register_server("i-0", 0, "draining");
   BOOST_REQUIRE(wait_for([&]() {
@@ -504,6 +809,34 @@
   check_that_requests_reach_server_0({0, 1});
 }
 
+// Guards against requests that waited at the node beside a leaving server and reach it long after the node
+// had learned of the departure.
+BOOST_FIXTURE_TEST_CASE(call_that_waits_for_a_leaving_server_does_not_reach_it_after_the_drain_time,
+                        small_platform) {
+  constexpr std::chrono::milliseconds drain_time{2'500};
+  store.remove("servers/i-1");
+  wait_until_applied({0});
+  servers[0]->set_holding(true);
+  const int slots = 4;
+  const int running = servers[0]->runs() + slots;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 2 * slots; ++i) {
+    callers.emplace_back([this]() { send_request(0, "GET", "/look/1"); });
+  }
+  BOOST_CHECK(wait_for([&]() { return servers[0]->runs() >= running; }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  register_server("i-1", 1);
+  register_server("i-0", 0, "draining");
+  wait_until_applied({0});
+  std::this_thread::sleep_for(drain_time);
+  const int before = servers[0]->arrivals();
+  servers[0]->release();
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  BOOST_TEST(servers[0]->arrivals() == before);
+}
+
 BOOST_FIXTURE_TEST_CASE(newer_configuration_is_applied_and_an_older_one_is_ignored, small_platform) {
   publish(5, {route_json("moved", "/moved/", "shop", "idempotent")});
   BOOST_REQUIRE(wait_for([&]() {
@@ -534,6 +867,65 @@
   BOOST_TEST(wait_for([&]() { return is_ready(1) && send_request(1, "GET", "/look/1").status == 200; }));
 }
 
+// Guards against an old view after a start: a node that had just been started answered 404 for a route that
+// the store had acknowledged 2.6 s before.
+BOOST_FIXTURE_TEST_CASE(restarted_node_does_not_deny_a_new_route_by_an_old_cheap_read, small_platform) {
+  publish_added_route_without(1);
+  store.set_watches_silent(true);
+  start_node(1, false);
+  BOOST_TEST(is_never_denied_and_served(1, "/added/"));
+  BOOST_TEST(is_ready(1));
+  BOOST_TEST(send_request(1, "GET", "/nowhere/").status == 404);
+}
+
+BOOST_FIXTURE_TEST_CASE(restarted_node_that_only_gets_old_cheap_reads_is_confirmed_by_its_peer,
+                        small_platform) {
+  publish_added_route_without(1);
+  store.set_watches_silent(true);
+  store.set_exact_reads_refused(true);
+  start_node(1, false);
+  BOOST_TEST(is_never_denied_and_served(1, "/added/"));
+}
+
+BOOST_FIXTURE_TEST_CASE(node_without_any_confirmation_serves_the_routes_it_knows_and_denies_none,
+                        small_platform) {
+  publish_added_route_without(1);
+  nodes.erase(0);
+  store.set_watches_silent(true);
+  store.set_exact_reads_refused(true);
+  start_node(1, false);
+  BOOST_TEST(send_request(1, "GET", "/look/1").status == 503);
+  BOOST_TEST(!is_ready(1));
+  BOOST_TEST(wait_for([&]() { return is_ready(1); }));
+  BOOST_TEST(send_request(1, "GET", "/look/1").status != 404);
+  const answer_message refused = send_request(1, "GET", "/added/");
+  BOOST_TEST(refused.status == 503);
+  BOOST_TEST(!find_header(refused.fields, "Retry-After").empty());
+}
+
+// Guards against an old view behind a watch that is open but dead: requests were sent to servers whose
+// leaving had been acknowledged longer than the drain time ago, and new routes were denied.
+BOOST_FIXTURE_TEST_CASE(node_whose_watch_went_silent_learns_of_changes_in_time, small_platform) {
+  silence_the_watch_of(1);
+  publish(2, {route_json("look", "/look/", "shop", "idempotent"),
+              route_json("added", "/added/", "shop", "idempotent")});
+  BOOST_TEST(wait_for([&]() { return send_request(1, "GET", "/added/").status == 200; }, change_bound));
+}
+
+BOOST_FIXTURE_TEST_CASE(node_whose_watch_went_silent_sends_no_requests_to_a_leaving_server, small_platform) {
+  silence_the_watch_of(0);
+  register_server("i-0", 0, "draining");
+  BOOST_TEST(wait_for(
+      [&]() {
+        const int before = servers[0]->runs();
+        for (int i = 0; i < 6; ++i) {
+          BOOST_REQUIRE(send_request(0, "GET", "/look/1").status == 200);
+        }
+        return servers[0]->runs() == before;
+      },
+      change_bound));
+}
+
 BOOST_FIXTURE_TEST_CASE(leaving_node_reports_not_ready_and_requests_at_its_peer_succeed, small_platform) {
   nodes[1]->leave();
   BOOST_TEST(wait_for([&]() { return !is_ready(1); }));
--- a/unit_tests/protocol/peer_network_test.cpp
+++ b/unit_tests/protocol/peer_network_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cmath>
 #include <future>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -133,6 +134,30 @@
   BOOST_TEST(!read(written.asReader()).leaving_process_started_ms.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(target_rate_passes_between_nodes_and_is_unknown_without_one) {
+  const target_rate rate{34.5, std::chrono::milliseconds(250)};
+  capnp::MallocMessageBuilder builder;
+  wire::CallContext::Builder context = builder.initRoot<wire::CallContext>();
+  BOOST_TEST(!read_context(context.asReader()).context.known_target_rate);
+  call_context written_context;
+  written_context.known_target_rate = rate;
+  write_context(written_context, 0, context);
+  BOOST_TEST(read_context(context.asReader()).context.known_target_rate->per_second == rate.per_second);
+  BOOST_TEST((read_context(context.asReader()).context.known_target_rate->age == rate.age));
+
+  wire::Answer::Builder answer = builder.initRoot<wire::Answer>();
+  BOOST_TEST(!read(answer.asReader()).report.rate);
+  peer_answer written_answer;
+  written_answer.report.rate = rate;
+  write(written_answer, answer);
+  BOOST_TEST(read(answer.asReader()).report.rate->per_second == rate.per_second);
+  BOOST_TEST((read(answer.asReader()).report.rate->age == rate.age));
+  for (const double garbage : {std::nan(""), HUGE_VAL, -1.0}) {
+    answer.setTargetRate(garbage);
+    BOOST_TEST(!read(answer.asReader()).report.rate);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(call_returns_the_answer_to_it, two_networks) {
   const result<peer_answer, peer_error> outcome = call(address, "GET /a");
   BOOST_REQUIRE(succeeded(outcome));
@@ -185,6 +210,35 @@
   BOOST_TEST((cancellation == std::future_status::ready));
 }
 
+BOOST_FIXTURE_TEST_CASE(calls_to_a_peer_that_takes_nothing_do_not_queue_without_bound, two_networks) {
+  // The kernel accepts the connection into the listen queue; nothing reads from it.
+  boost::asio::io_context context;
+  const boost::asio::ip::tcp::acceptor silent(
+      context, boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  const std::string to = "127.0.0.1:" + std::to_string(silent.local_endpoint().port());
+  constexpr std::size_t body_bytes = 2U << 20U;
+  constexpr int call_count = 48;
+  // The default of the queues of all peers together, and as much again for socket buffers.
+  constexpr std::size_t most_bytes = 48U << 20U;
+  peer_call large = make_call("GET /a");
+  large.request = std::make_shared<const request_message>(
+      request_message{"POST", "/a", {}, std::string(body_bytes, 'a')});
+  std::vector<std::promise<result<peer_answer, peer_error>>> ended(call_count);
+  for (std::promise<result<peer_answer, peer_error>>& each : ended) {
+    client.call(to, large,
+                [&each](const result<peer_answer, peer_error>& outcome) { each.set_value(outcome); });
+  }
+  // Other peers are not affected.
+  BOOST_TEST(succeeded(call(address, "GET /a")));
+  std::size_t queued_bytes = 0;
+  for (std::promise<result<peer_answer, peer_error>>& each : ended) {
+    const result<peer_answer, peer_error> outcome = each.get_future().get();
+    BOOST_REQUIRE(!succeeded(outcome));
+    queued_bytes += std::get<peer_error>(outcome) == peer_error::lost ? body_bytes : 0;
+  }
+  BOOST_TEST(queued_bytes <= most_bytes);
+}
+
 BOOST_FIXTURE_TEST_CASE(exchange_carries_digests_documents_and_marks, two_networks) {
   peer_exchange offer;
   offer.self = {"host", 5, true};
