--- a/nutmegarch/protocol/peer.capnp
+++ b/nutmegarch/protocol/peer.capnp
@@ -68,6 +68,13 @@
   # Requests per second that the target takes, and the time since it named them. 0: no limit is known.
   targetRate @16 :Float64;
   targetRateAge @17 :Int64;
+  # Set when the target process that the call names has announced that it leaves.
+  targetLeaving @18 :Departure;
+}
+
+struct Departure {
+  # Start of the process on the platform's clock, in milliseconds; 0 when unknown.
+  startedMs @0 :Int64;
 }
 
 struct DocumentStamp {
--- a/unit_tests/platform/platform_path_test.cpp
+++ b/unit_tests/platform/platform_path_test.cpp
@@ -98,6 +98,15 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     named_limit_ = limit;
   }
+  /// Answers the held requests with an error, and holds no more.
+  void release() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    is_holding_ = false;
+    for (const answer_callback& held : held_answers_) {
+      held({500, {}, ""});
+    }
+    held_answers_.clear();
+  }
   int runs() const {
     const std::lock_guard<std::mutex> lock(mutex_);
     return runs_;
@@ -815,6 +824,34 @@
   check_that_requests_reach_server_0({0, 1});
 }
 
+// Guards against requests that waited at the node beside a leaving server and reach it long after the node
+// had learned of the departure.
+BOOST_FIXTURE_TEST_CASE(call_that_waits_for_a_leaving_server_does_not_reach_it_after_the_drain_time,
+                        small_platform) {
+  constexpr std::chrono::milliseconds drain_time{2'500};
+  store.remove("servers/i-1");
+  wait_until_applied({0});
+  servers[0]->set_holding(true);
+  const int slots = 4;
+  const int running = servers[0]->runs() + slots;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 2 * slots; ++i) {
+    callers.emplace_back([this]() { send_request(0, "GET", "/look/1"); });
+  }
+  BOOST_CHECK(wait_for([&]() { return servers[0]->runs() >= running; }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  register_server("i-1", 1);
+  register_server("i-0", 0, "draining");
+  wait_until_applied({0});
+  std::this_thread::sleep_for(drain_time);
+  const int before = servers[0]->arrivals();
+  servers[0]->release();
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  BOOST_TEST(servers[0]->arrivals() == before);
+}
+
 BOOST_FIXTURE_TEST_CASE(newer_configuration_is_applied_and_an_older_one_is_ignored, small_platform) {
   publish(5, {route_json("moved", "/moved/", "shop", "idempotent")});
   BOOST_REQUIRE(wait_for([&]() {
