Reject an empty body that only the connection's close delimits

Where answers that end with the connection are not accepted, an empty one still was, because an empty body counted as delimited. Now only the status and the method exclude a body, as RFC 9112, 6.3 says.

--- a/nutmegarch/http/client_pool.cpp
+++ b/nutmegarch/http/client_pool.cpp
@@ -314,8 +314,9 @@
         complete(client_error::malformed, false);
         return;
     }
-    // Without chunked encoding or Content-Length, only an orderly close shows that the answer is complete.
-    const bool is_delimited = parser_->chunked() || parser_->content_length() || answer.body().empty();
+    // Without chunked encoding or Content-Length, only an orderly close shows that the answer is complete,
+    // unless its status or the request's method excludes a body.
+    const bool is_delimited = !parser_->need_eof();
     if (!is_delimited && !settings_.allow_close_delimited) {
       complete(client_error::malformed, false);
       return;
