Read a peer's entries whatever their bytes are

Another writer had left one odd entry among the servers'.

Cause: the document with which peers pass the entries on is JSON, and contains the value of each entry as it is. If the bytes of one value are no UTF-8, each peer refused the whole document, and a machine that can't read the store learned nothing from its peers.

The bytes of values are now passed on unchanged: the reader allows any bytes in strings, and only the parser of the entry judges them.

Before: odd_entries_in_the_document_of_a_peer_leave_the_others_in_force: check wait_for(is_ready(1) && ...) has failed, after 30 s

--- a/nutmegarch/node/store_synchronizer.cpp
+++ b/nutmegarch/node/store_synchronizer.cpp
@@ -41,8 +41,11 @@
 
 /// Parses the items of a peer's document; returns an empty list when it is malformed.
 std::vector<membership::published_item> parse_items(const std::string& body) {
+  // The values of entries are any bytes. serialize_items() writes them as they are.
+  boost::json::parse_options options;
+  options.allow_invalid_utf8 = true;
   boost::system::error_code error;
-  const boost::json::value root = boost::json::parse(body, error);
+  const boost::json::value root = boost::json::parse(body, error, {}, options);
   std::vector<membership::published_item> items;
   if (error || !root.is_array()) {
     return items;
