Let no entry of an unnamed service displace a server

Cause: of entries with one address, the one that started or was written last was kept. An odd entry with a service that the configuration doesn't name, and the address of a running server, displaced that server at all nodes.

Entries of services that no configuration in force names now give way at an address that a server of a named service has. When a configuration names other services, the entries are applied again.

--- a/nutmegarch/node/store_synchronizer.cpp
+++ b/nutmegarch/node/store_synchronizer.cpp
@@ -206,9 +206,30 @@
                       {"revision", std::to_string(revision)},
                       {"routes", std::to_string(state_.routes->size())},
                       {"from", from}});
+  set_named_services(configuration, from);
   return true;
 }
 
+void store_synchronizer::set_named_services(const routes::route_configuration& configuration,
+                                            const std::string& from) {
+  std::set<std::string> named;
+  for (const std::pair<const std::string, routes::service_options>& service : configuration.services) {
+    named.insert(service.first);
+  }
+  for (const routes::route& route : configuration.routes) {
+    for (const routes::weighted_service& share : route.services) {
+      named.insert(share.service);
+    }
+  }
+  if (named == named_services_) {
+    return;
+  }
+  named_services_ = std::move(named);
+  if (store_copy_.revision() != 0) {
+    apply_hosts(from);
+  }
+}
+
 void store_synchronizer::log_changed_routes(const routes::route_configuration& next) const {
   int logged = 0;
   for (const routes::route& route : next.routes) {
@@ -235,6 +256,7 @@
 
 std::vector<membership::published_host> store_synchronizer::read_hosts() {
   std::vector<membership::published_host> hosts;
+  std::vector<membership::published_host> unnamed_hosts;
   std::map<std::string, membership::published_host> newest_hosts;
   for (const std::pair<const std::string, membership::published_item>& entry : store_copy_.items()) {
     const membership::published_item& item = entry.second;
@@ -262,10 +284,24 @@
     host.peer_address = host.host + ':' + peer_port_;
     host.revision = item.revision;
     newest_hosts[host.instance] = host;
-    hosts.push_back(std::move(host));
+    const bool is_named = named_services_.empty() || named_services_.count(host.service) != 0;
+    (is_named ? hosts : unnamed_hosts).push_back(std::move(host));
   }
   newest_hosts_ = std::move(newest_hosts);
   membership::keep_newest_by_address(hosts);
+
+  // An entry of a service that the configuration does not name may come from another writer, so it does not
+  // replace a server at the same address.
+  std::set<std::string> taken_addresses;
+  for (const membership::published_host& host : hosts) {
+    taken_addresses.insert(host.address);
+  }
+  membership::keep_newest_by_address(unnamed_hosts);
+  for (membership::published_host& host : unnamed_hosts) {
+    if (taken_addresses.count(host.address) == 0) {
+      hosts.push_back(std::move(host));
+    }
+  }
   return hosts;
 }
 
--- a/nutmegarch/node/store_synchronizer.h
+++ b/nutmegarch/node/store_synchronizer.h
@@ -43,6 +43,8 @@
   /// Requires the state's lock.
   bool accept_configuration(const std::string& value, std::uint64_t revision, const std::string& from);
   void log_changed_routes(const routes::route_configuration& next) const;
+  /// Sets the services that a new configuration names, and applies the entries again if they have changed.
+  void set_named_services(const routes::route_configuration& configuration, const std::string& from);
   /// Removes the configuration from the items and applies it, when it is among them. Returns true when it was
   /// applied. Requires the state's lock.
   bool extract_configuration(std::vector<membership::published_item>& items);
@@ -67,6 +69,8 @@
   /// All following members are guarded by the state's lock.
   membership::published_state store_copy_;
   membership::published_reader reader_;
+  /// Services that the configuration in force names; empty before the first one.
+  std::set<std::string> named_services_;
   /// All services that have had a target.
   std::set<std::string> services_;
   /// The newest valid entry of each target process, by the instance name.
