Bound the bytes of requests that wait to be written to peers

What callers saw: nothing yet; a node's memory grew with each call to a peer that was slow or dead, since a copy of the call waited in the queue of the connection until the peer was found dead, about a second, or while the link was slow.

All outgoing connections now share a budget of bytes (/peers/most_queued_bytes, 32 MB). One queue takes half of it at most, so that calls to other peers still pass. A request beyond it is not written and ends as not run with reason queue-full, which is true, since no byte was sent. A request larger than the budget passes while nothing waits.

The node serves the connections of peers with its own RPC system for each, in place of TwoPartyServer, so that the bytes of answers that wait can be read, too. They are counted, not bounded.

Evidence: peers/calls_to_a_peer_that_takes_nothing_do_not_queue_without_bound failed before (check queued_bytes <= most_bytes has failed [ >]) and passes now, and with it the whole of unit_tests.

--- a/nutmegarch/node/outbound_path.cpp
+++ b/nutmegarch/node/outbound_path.cpp
@@ -20,10 +20,12 @@
 
 policy::attempt_answer make_error_answer(protocol::peer_error error) {
   policy::attempt_answer answer;
-  const bool is_unsent = error == protocol::peer_error::unreachable;
+  const bool is_unsent = error != protocol::peer_error::lost;
   answer.outcome = is_unsent ? call_outcome::not_run : call_outcome::unknown;
   answer.reached_target = !is_unsent;
-  answer.reason = is_unsent ? call_reason::no_target : call_reason::connection_lost;
+  answer.reason = error == protocol::peer_error::queue_full    ? call_reason::queue_full
+                  : error == protocol::peer_error::unreachable ? call_reason::no_target
+                                                               : call_reason::connection_lost;
   return answer;
 }
 
--- a/nutmegarch/protocol/peer_messages.h
+++ b/nutmegarch/protocol/peer_messages.h
@@ -59,6 +59,8 @@
 enum class peer_error : std::uint8_t {
   /// No connection could be established, so nothing was written.
   unreachable,
+  /// Too many bytes wait to be written to peers, so nothing was written.
+  queue_full,
   /// The connection failed or timed out after the message may have been written.
   lost
 };
--- a/nutmegarch/protocol/peer_network.cpp
+++ b/nutmegarch/protocol/peer_network.cpp
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <optional>
+#include <set>
 #include <sys/eventfd.h>
 #include <thread>
 #include <unistd.h>
@@ -29,6 +30,8 @@
 namespace {
 
 constexpr duration tick_interval = std::chrono::milliseconds(100);
+/// Approximate size in bytes of a request without its body or documents.
+constexpr std::size_t message_overhead_bytes = 400;
 
 using tcp = boost::asio::ip::tcp;
 
@@ -51,14 +54,31 @@
   time_point ping_sent_at{};
 };
 
+/// Connection that a peer has opened.
+struct accepted_connection {
+  accepted_connection(tcp::socket socket, capnp::Capability::Client bootstrap)
+      : stream(std::move(socket)),
+        network(stream, capnp::rpc::twoparty::Side::SERVER),
+        rpc(capnp::makeRpcServer(network, kj::mv(bootstrap))) {}
+
+  asio_stream stream;
+  capnp::TwoPartyVatNetwork network;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
+};
+
 }  // namespace
 
-/// Members are used on the network's thread only, except start(), post(), request_stop(), join() and
-/// next_request_id().
+/// Members are used on the network's thread only, except start(), post(), request_stop(), join(),
+/// next_request_id() and queues().
 class peer_network::impl final : public kj::TaskSet::ErrorHandler {
  public:
   impl(boost::asio::io_context& io, const peer_network_settings& settings)
-      : settings_(settings), io_(io), work_(io.get_executor()), acceptor_(io), timer_(io) {}
+      : settings_(settings),
+        queue_limit_(settings.queues),
+        io_(io),
+        work_(io.get_executor()),
+        acceptor_(io),
+        timer_(io) {}
 
   bool start(const std::string& address, peer_service& service) {
     service_ = &service;
@@ -88,26 +108,35 @@
 
   std::uint64_t next_request_id() { return ++last_request_id_; }
 
+  peer_queues queues() const { return {queued_request_bytes_, queued_answer_bytes_}; }
+
   void call(std::uint64_t request_id, const std::string& address, peer_call content, answer_callback done) {
-    send(request_id, address, std::move(done), [content = std::move(content)](wire::Peer::Client& peer) {
-      auto request = peer.callRequest();
-      write(content, request.initContext(), request.initRequest());
-      return request.send().then([](auto&& response) { return read(response.getAnswer()); });
-    });
+    const std::size_t size = content.request->body.size() + message_overhead_bytes;
+    send(request_id, address, size, std::move(done),
+         [content = std::move(content)](wire::Peer::Client& peer) {
+           auto request = peer.callRequest();
+           write(content, request.initContext(), request.initRequest());
+           return request.send().then([](auto&& response) { return read(response.getAnswer()); });
+         });
   }
 
   void request_ticket(std::uint64_t request_id, const std::string& address, peer_call content,
                       answer_callback done) {
-    send(request_id, address, std::move(done), [content = std::move(content)](wire::Peer::Client& peer) {
-      auto request = peer.issueTicketRequest();
-      write_context(content.context, content.stamp, request.initContext());
-      return request.send().then([](auto&& response) { return read(response.getAnswer()); });
-    });
+    send(request_id, address, message_overhead_bytes, std::move(done),
+         [content = std::move(content)](wire::Peer::Client& peer) {
+           auto request = peer.issueTicketRequest();
+           write_context(content.context, content.stamp, request.initContext());
+           return request.send().then([](auto&& response) { return read(response.getAnswer()); });
+         });
   }
 
   void exchange(std::uint64_t request_id, const std::string& address, peer_exchange offer,
                 exchange_callback done) {
-    send(request_id, address, std::move(done), [offer = std::move(offer)](wire::Peer::Client& peer) {
+    std::size_t size = message_overhead_bytes;
+    for (const membership::document& sent : offer.documents) {
+      size += sent.body.size();
+    }
+    send(request_id, address, size, std::move(done), [offer = std::move(offer)](wire::Peer::Client& peer) {
       auto request = peer.exchangeRequest();
       write(offer, request.initOffer());
       return request.send().then([](auto&& response) { return read(response.getReply()); });
@@ -156,10 +185,10 @@
     kj::WaitScope scope(loop);
     kj::TaskSet tasks(*this);
     tasks_ = &tasks;
-    capnp::TwoPartyServer rpc_server(make_server());
+    capnp::Capability::Client bootstrap = make_server();
     kj::PromiseFulfillerPair<void> end = kj::newPromiseAndFulfiller<void>();
     stop_fulfiller_ = kj::mv(end.fulfiller);
-    accept(rpc_server);
+    accept(bootstrap);
     tick();
     end.promise.wait(scope);
 
@@ -176,15 +205,15 @@
 
   capnp::Capability::Client make_server();
 
-  void accept(capnp::TwoPartyServer& rpc_server) {
-    acceptor_.async_accept([this, &rpc_server](const boost::system::error_code& error, tcp::socket socket) {
+  void accept(capnp::Capability::Client& bootstrap) {
+    acceptor_.async_accept([this, &bootstrap](const boost::system::error_code& error, tcp::socket socket) {
       if (is_stopping_ || !acceptor_.is_open()) {
         return;
       }
       if (!error) {
-        rpc_server.accept(kj::heap<asio_stream>(std::move(socket)));
+        serve(std::move(socket), bootstrap);
       }
-      accept(rpc_server);
+      accept(bootstrap);
     });
   }
 
@@ -196,10 +225,30 @@
       }
       erase_finished_requests();
       check_connections();
+      queued_request_bytes_ = count_queued_bytes();
+      queued_answer_bytes_ = count_queued_answer_bytes();
       tick();
     });
   }
 
+  /// Serves the requests of a peer until it disconnects.
+  void serve(tcp::socket socket, capnp::Capability::Client& bootstrap) {
+    kj::Own<accepted_connection> accepted = kj::heap<accepted_connection>(std::move(socket), bootstrap);
+    accepted_connection* const key = accepted.get();
+    accepted_connections_.insert(key);
+    tasks_->add(accepted->network.onDisconnect().attach(
+        kj::defer([this, key]() { accepted_connections_.erase(key); }), kj::mv(accepted)));
+  }
+
+  /// Bytes of answers that wait to be written to all peers.
+  std::size_t count_queued_answer_bytes() {
+    std::size_t total = 0;
+    for (accepted_connection* const accepted : accepted_connections_) {
+      total += accepted->network.getCurrentQueueSize();
+    }
+    return total;
+  }
+
   /// Pings connections with pending requests, and drops those that time out or are idle.
   void check_connections() {
     const time_point now = clock_.now();
@@ -321,18 +370,40 @@
     dropped_connections_.push_back(kj::mv(removed));
   }
 
-  /// Sends a request over the connection to `address`, and calls `done` with the answer or an error.
+  /// Bytes of messages that wait to be written to all peers.
+  std::size_t count_queued_bytes() {
+    std::size_t total = 0;
+    for (std::pair<const std::string, kj::Own<peer_connection>>& entry : connections_) {
+      total += entry.second->peer == nullptr ? 0 : entry.second->client->getCurrentQueueSize();
+    }
+    return total;
+  }
+
+  bool has_room_for(peer_connection& connection, std::size_t message_bytes) {
+    const std::size_t total_bytes = count_queued_bytes();
+    queued_request_bytes_ = total_bytes;
+    return queue_limit_.may_add(connection.client->getCurrentQueueSize(), total_bytes, message_bytes);
+  }
+
+  /// Sends a request of about `size` bytes over the connection to `address`, and calls `done` with the answer
+  /// or an error.
   template <typename Callback, typename Send>
-  void send(std::uint64_t request_id, const std::string& address, Callback done, Send send_request) {
+  void send(std::uint64_t request_id, const std::string& address, std::size_t size, Callback done,
+            Send send_request) {
     peer_connection& connection = find_or_connect(address);
     kj::Own<peer_connection> connection_ref = kj::addRef(connection);
-    const std::shared_ptr<bool> is_written = std::make_shared<bool>(false);
+    // Why the request fails if it fails now.
+    const std::shared_ptr<peer_error> error = std::make_shared<peer_error>(peer_error::unreachable);
     const std::shared_ptr<Callback> callback = std::make_shared<Callback>(std::move(done));
     ++connection.pending_requests;
     kj::Promise<void> promise =
         connection.ready.addBranch()
-            .then([&connection, is_written, send_request = kj::mv(send_request)]() mutable {
-              *is_written = true;
+            .then([this, &connection, error, size, send_request = kj::mv(send_request)]() mutable {
+              if (!has_room_for(connection, size)) {
+                *error = peer_error::queue_full;
+                kj::throwFatalException(KJ_EXCEPTION(OVERLOADED, "too many bytes wait for peers"));
+              }
+              *error = peer_error::lost;
               return send_request(KJ_ASSERT_NONNULL(connection.peer));
             })
             .then([this, &connection, callback](auto&& content) {
@@ -341,9 +412,9 @@
             })
             .exclusiveJoin(connection.broken.addBranch())
             .then([this, request_id]() { finished_requests_.push_back(request_id); },
-                  [this, request_id, callback, is_written](kj::Exception&&) {
+                  [this, request_id, callback, error](kj::Exception&&) {
                     finished_requests_.push_back(request_id);
-                    (*callback)(*is_written ? peer_error::lost : peer_error::unreachable);
+                    (*callback)(*error);
                   })
             .attach(kj::defer(
                 [connection_ref = kj::mv(connection_ref)]() mutable { --connection_ref->pending_requests; }))
@@ -363,10 +434,13 @@
   void taskFailed(kj::Exception&&) override {}
 
   peer_network_settings settings_;
+  policy::queue_share_limit queue_limit_;
   system_time_source clock_;
   peer_service* service_ = nullptr;
   std::thread thread_;
   std::atomic<std::uint64_t> last_request_id_{0};
+  std::atomic<std::size_t> queued_request_bytes_{0};
+  std::atomic<std::size_t> queued_answer_bytes_{0};
   boost::asio::io_context& io_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
   tcp::acceptor acceptor_;
@@ -377,6 +451,8 @@
   bool is_stopping_ = false;
   std::map<std::string, kj::Own<peer_connection>> connections_;
   std::vector<kj::Own<peer_connection>> dropped_connections_;
+  /// Owned by tasks_.
+  std::set<accepted_connection*> accepted_connections_;
   std::unordered_map<std::uint64_t, kj::Promise<void>> outgoing_requests_;
   std::vector<std::uint64_t> finished_requests_;
   std::unordered_map<std::uint64_t, kj::Own<kj::PromiseFulfiller<peer_answer>>> incoming_exchanges_;
@@ -487,6 +563,8 @@
   impl_->post([this]() { impl_->drop_connections(); });
 }
 
+peer_queues peer_network::queues() const { return impl_->queues(); }
+
 void peer_network::answer(std::uint64_t exchange_id, peer_answer content) {
   impl_->post([this, exchange_id, content = std::move(content)]() { impl_->answer(exchange_id, content); });
 }
--- a/nutmegarch/protocol/peer_network.h
+++ b/nutmegarch/protocol/peer_network.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "nutmegarch/core/result.h"
+#include "nutmegarch/policy/queue_share_limit.h"
 #include "nutmegarch/protocol/peer_messages.h"
 
 namespace nutmegarch::protocol {
@@ -40,6 +41,16 @@
   duration ping_timeout = std::chrono::milliseconds(700);
   /// A connection without pending requests is closed when nothing was received for this long.
   duration idle_timeout = std::chrono::seconds(60);
+  /// Limit of the requests that wait to be written to peers. A request beyond it fails as queue_full.
+  policy::queue_share_limit_settings queues;
+};
+
+/// Bytes that wait to be written to peers.
+struct peer_queues {
+  /// Calls, ticket requests and gossip, on connections that this node has opened.
+  std::size_t request_bytes = 0;
+  /// Answers, on connections that peers have opened.
+  std::size_t answer_bytes = 0;
 };
 
 /// Incoming and outgoing connections between peers, with Cap'n Proto RPC. The network has its own thread,
@@ -79,6 +90,9 @@
   void drop_connections();
   /// @}
 
+  /// What waits to be written to peers, as of the last tick or request.
+  peer_queues queues() const;
+
   /// Answers a call or a ticket request of a peer. Does nothing when the exchange was cancelled.
   void answer(std::uint64_t exchange_id, peer_answer content);
 
