--- a/nutmegarch/protocol/peer.capnp.cpp
+++ b/nutmegarch/protocol/peer.capnp.cpp
@@ -5,22 +5,25 @@
 
 namespace capnp {
 namespace schemas {
-static const ::capnp::_::AlignedData<362> b_f9509f592e8d67d5 = {
+static const ::capnp::_::AlignedData<365> b_f9509f592e8d67d5 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     213, 103, 141,  46,  89, 159,  80, 249,
-     11,   0,   0,   0,   1,   0,  10,   0,
+     31,   0,   0,   0,   1,   0,  10,   0,
      33,  71, 243, 233, 208, 165, 198, 177,
       5,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 186,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,  90,   1,   0,   0,
+     41,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 215,   4,   0,   0,
+     37,   0,   0,   0, 215,   4,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  67,  97, 108, 108,  67,
-    111, 110, 116, 101, 120, 116,   0,   0,
+    110, 117, 116, 109, 101, 103,  97, 114,
+     99, 104,  47, 112, 114, 111, 116, 111,
+     99, 111, 108,  47, 112, 101, 101, 114,
+     46,  99,  97, 112, 110, 112,  58,  67,
+     97, 108, 108,  67, 111, 110, 116, 101,
+    120, 116,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
      88,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -374,26 +377,28 @@
 static const uint16_t m_f9509f592e8d67d5[] = {17, 5, 4, 8, 7, 13, 0, 1, 10, 19, 18, 12, 9, 11, 3, 2, 6, 16, 20, 21, 14, 15};
 static const uint16_t i_f9509f592e8d67d5[] = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21};
 const ::capnp::_::RawSchema s_f9509f592e8d67d5 = {
-  0xf9509f592e8d67d5, b_f9509f592e8d67d5.words, 362, nullptr, m_f9509f592e8d67d5,
+  0xf9509f592e8d67d5, b_f9509f592e8d67d5.words, 365, nullptr, m_f9509f592e8d67d5,
   0, 22, i_f9509f592e8d67d5, nullptr, nullptr, { &s_f9509f592e8d67d5, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<47> b_fc76acbf35f157dd = {
+static const ::capnp::_::AlignedData<49> b_fc76acbf35f157dd = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     221,  87, 241,  53, 191, 172, 118, 252,
-     11,   0,   0,   0,   1,   0,   0,   0,
+     31,   0,   0,   0,   1,   0,   0,   0,
      33,  71, 243, 233, 208, 165, 198, 177,
       2,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 146,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,  50,   1,   0,   0,
+     37,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 119,   0,   0,   0,
+     33,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  72, 101,  97, 100, 101,
-    114,   0,   0,   0,   0,   0,   0,   0,
+    110, 117, 116, 109, 101, 103,  97, 114,
+     99, 104,  47, 112, 114, 111, 116, 111,
+     99, 111, 108,  47, 112, 101, 101, 114,
+     46,  99,  97, 112, 110, 112,  58,  72,
+    101,  97, 100, 101, 114,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
       8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -432,26 +437,28 @@
 static const uint16_t m_fc76acbf35f157dd[] = {0, 1};
 static const uint16_t i_fc76acbf35f157dd[] = {0, 1};
 const ::capnp::_::RawSchema s_fc76acbf35f157dd = {
-  0xfc76acbf35f157dd, b_fc76acbf35f157dd.words, 47, nullptr, m_fc76acbf35f157dd,
+  0xfc76acbf35f157dd, b_fc76acbf35f157dd.words, 49, nullptr, m_fc76acbf35f157dd,
   0, 2, i_fc76acbf35f157dd, nullptr, nullptr, { &s_fc76acbf35f157dd, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<97> b_96763fd35775f1a2 = {
+static const ::capnp::_::AlignedData<99> b_96763fd35775f1a2 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     162, 241, 117,  87, 211,  63, 118, 150,
-     11,   0,   0,   0,   1,   0,   0,   0,
+     31,   0,   0,   0,   1,   0,   0,   0,
      33,  71, 243, 233, 208, 165, 198, 177,
       5,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 154,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,  58,   1,   0,   0,
+     37,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  31,   1,   0,   0,
+     33,   0,   0,   0,  31,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  82, 101, 113, 117, 101,
-    115, 116,   0,   0,   0,   0,   0,   0,
+    110, 117, 116, 109, 101, 103,  97, 114,
+     99, 104,  47, 112, 114, 111, 116, 111,
+     99, 111, 108,  47, 112, 101, 101, 114,
+     46,  99,  97, 112, 110, 112,  58,  82,
+    101, 113, 117, 101, 115, 116,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
      20,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -543,26 +550,28 @@
 static const uint16_t m_96763fd35775f1a2[] = {4, 3, 2, 0, 1};
 static const uint16_t i_96763fd35775f1a2[] = {0, 1, 2, 3, 4};
 const ::capnp::_::RawSchema s_96763fd35775f1a2 = {
-  0x96763fd35775f1a2, b_96763fd35775f1a2.words, 97, d_96763fd35775f1a2, m_96763fd35775f1a2,
+  0x96763fd35775f1a2, b_96763fd35775f1a2.words, 99, d_96763fd35775f1a2, m_96763fd35775f1a2,
   1, 5, i_96763fd35775f1a2, nullptr, nullptr, { &s_96763fd35775f1a2, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<314> b_e99de4fcf75f38e6 = {
+static const ::capnp::_::AlignedData<316> b_e99de4fcf75f38e6 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     230,  56,  95, 247, 252, 228, 157, 233,
-     11,   0,   0,   0,   1,   0,   8,   0,
+     31,   0,   0,   0,   1,   0,   8,   0,
      33,  71, 243, 233, 208, 165, 198, 177,
       4,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 146,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,  50,   1,   0,   0,
+     37,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  47,   4,   0,   0,
+     33,   0,   0,   0,  47,   4,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  65, 110, 115, 119, 101,
-    114,   0,   0,   0,   0,   0,   0,   0,
+    110, 117, 116, 109, 101, 103,  97, 114,
+     99, 104,  47, 112, 114, 111, 116, 111,
+     99, 111, 108,  47, 112, 101, 101, 114,
+     46,  99,  97, 112, 110, 112,  58,  65,
+    110, 115, 119, 101, 114,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
      76,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -872,26 +881,29 @@
 static const uint16_t m_e99de4fcf75f38e6[] = {4, 11, 3, 9, 8, 7, 6, 0, 15, 1, 10, 13, 14, 2, 18, 16, 17, 12, 5};
 static const uint16_t i_e99de4fcf75f38e6[] = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18};
 const ::capnp::_::RawSchema s_e99de4fcf75f38e6 = {
-  0xe99de4fcf75f38e6, b_e99de4fcf75f38e6.words, 314, d_e99de4fcf75f38e6, m_e99de4fcf75f38e6,
+  0xe99de4fcf75f38e6, b_e99de4fcf75f38e6.words, 316, d_e99de4fcf75f38e6, m_e99de4fcf75f38e6,
   2, 19, i_e99de4fcf75f38e6, nullptr, nullptr, { &s_e99de4fcf75f38e6, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<33> b_d2fd4ad3cd1ceda2 = {
+static const ::capnp::_::AlignedData<36> b_d2fd4ad3cd1ceda2 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     162, 237,  28, 205, 211,  74, 253, 210,
-     11,   0,   0,   0,   1,   0,   1,   0,
+     31,   0,   0,   0,   1,   0,   1,   0,
      33,  71, 243, 233, 208, 165, 198, 177,
       0,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 170,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,  74,   1,   0,   0,
+     41,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0,  63,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  63,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+    110, 117, 116, 109, 101, 103,  97, 114,
+     99, 104,  47, 112, 114, 111, 116, 111,
+     99, 111, 108,  47, 112, 101, 101, 114,
+     46,  99,  97, 112, 110, 112,  58,  68,
+    101, 112,  97, 114, 116, 117, 114, 101,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  68, 101, 112,  97, 114,
-    116, 117, 114, 101,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
       4,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -916,27 +928,29 @@
 static const uint16_t m_d2fd4ad3cd1ceda2[] = {0};
 static const uint16_t i_d2fd4ad3cd1ceda2[] = {0};
 const ::capnp::_::RawSchema s_d2fd4ad3cd1ceda2 = {
-  0xd2fd4ad3cd1ceda2, b_d2fd4ad3cd1ceda2.words, 33, nullptr, m_d2fd4ad3cd1ceda2,
+  0xd2fd4ad3cd1ceda2, b_d2fd4ad3cd1ceda2.words, 36, nullptr, m_d2fd4ad3cd1ceda2,
   0, 1, i_d2fd4ad3cd1ceda2, nullptr, nullptr, { &s_d2fd4ad3cd1ceda2, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<79> b_8e5ee99f00feaaf7 = {
+static const ::capnp::_::AlignedData<81> b_8e5ee99f00feaaf7 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     247, 170, 254,   0, 159, 233,  94, 142,
-     11,   0,   0,   0,   1,   0,   3,   0,
+     31,   0,   0,   0,   1,   0,   3,   0,
      33,  71, 243, 233, 208, 165, 198, 177,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 202,   0,   0,   0,
-     33,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0, 106,   1,   0,   0,
+     41,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 231,   0,   0,   0,
+     37,   0,   0,   0, 231,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  68, 111,  99, 117, 109,
-    101, 110, 116,  83, 116,  97, 109, 112,
-      0,   0,   0,   0,   0,   0,   0,   0,
+    110, 117, 116, 109, 101, 103,  97, 114,
+     99, 104,  47, 112, 114, 111, 116, 111,
+     99, 111, 108,  47, 112, 101, 101, 114,
+     46,  99,  97, 112, 110, 112,  58,  68,
+    111,  99, 117, 109, 101, 110, 116,  83,
+    116,  97, 109, 112,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
      16,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1006,26 +1020,28 @@
 static const uint16_t m_8e5ee99f00feaaf7[] = {3, 0, 2, 1};
 static const uint16_t i_8e5ee99f00feaaf7[] = {0, 1, 2, 3};
 const ::capnp::_::RawSchema s_8e5ee99f00feaaf7 = {
-  0x8e5ee99f00feaaf7, b_8e5ee99f00feaaf7.words, 79, nullptr, m_8e5ee99f00feaaf7,
+  0x8e5ee99f00feaaf7, b_8e5ee99f00feaaf7.words, 81, nullptr, m_8e5ee99f00feaaf7,
   0, 4, i_8e5ee99f00feaaf7, nullptr, nullptr, { &s_8e5ee99f00feaaf7, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<47> b_b0eb0668877d4860 = {
+static const ::capnp::_::AlignedData<49> b_b0eb0668877d4860 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      96,  72, 125, 135, 104,   6, 235, 176,
-     11,   0,   0,   0,   1,   0,   0,   0,
+     31,   0,   0,   0,   1,   0,   0,   0,
      33,  71, 243, 233, 208, 165, 198, 177,
       2,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 162,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,  66,   1,   0,   0,
+     37,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 119,   0,   0,   0,
+     33,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  68, 111,  99, 117, 109,
-    101, 110, 116,   0,   0,   0,   0,   0,
+    110, 117, 116, 109, 101, 103,  97, 114,
+     99, 104,  47, 112, 114, 111, 116, 111,
+     99, 111, 108,  47, 112, 101, 101, 114,
+     46,  99,  97, 112, 110, 112,  58,  68,
+    111,  99, 117, 109, 101, 110, 116,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
       8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1067,26 +1083,29 @@
 static const uint16_t m_b0eb0668877d4860[] = {1, 0};
 static const uint16_t i_b0eb0668877d4860[] = {0, 1};
 const ::capnp::_::RawSchema s_b0eb0668877d4860 = {
-  0xb0eb0668877d4860, b_b0eb0668877d4860.words, 47, d_b0eb0668877d4860, m_b0eb0668877d4860,
+  0xb0eb0668877d4860, b_b0eb0668877d4860.words, 49, d_b0eb0668877d4860, m_b0eb0668877d4860,
   1, 2, i_b0eb0668877d4860, nullptr, nullptr, { &s_b0eb0668877d4860, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<48> b_eb206332fd821a44 = {
+static const ::capnp::_::AlignedData<51> b_eb206332fd821a44 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      68,  26, 130, 253,  50,  99,  32, 235,
-     11,   0,   0,   0,   1,   0,   2,   0,
+     31,   0,   0,   0,   1,   0,   2,   0,
      33,  71, 243, 233, 208, 165, 198, 177,
       0,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 170,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,  74,   1,   0,   0,
+     41,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+    110, 117, 116, 109, 101, 103,  97, 114,
+     99, 104,  47, 112, 114, 111, 116, 111,
+     99, 111, 108,  47, 112, 101, 101, 114,
+     46,  99,  97, 112, 110, 112,  58,  67,
+    114,  97, 115, 104,  77,  97, 114, 107,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  67, 114,  97, 115, 104,
-     77,  97, 114, 107,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
       8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1126,26 +1145,28 @@
 static const uint16_t m_eb206332fd821a44[] = {1, 0};
 static const uint16_t i_eb206332fd821a44[] = {0, 1};
 const ::capnp::_::RawSchema s_eb206332fd821a44 = {
-  0xeb206332fd821a44, b_eb206332fd821a44.words, 48, nullptr, m_eb206332fd821a44,
+  0xeb206332fd821a44, b_eb206332fd821a44.words, 51, nullptr, m_eb206332fd821a44,
   0, 2, i_eb206332fd821a44, nullptr, nullptr, { &s_eb206332fd821a44, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<152> b_f03d1315d37be1ff = {
+static const ::capnp::_::AlignedData<154> b_f03d1315d37be1ff = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     255, 225, 123, 211,  21,  19,  61, 240,
-     11,   0,   0,   0,   1,   0,   4,   0,
+     31,   0,   0,   0,   1,   0,   4,   0,
      33,  71, 243, 233, 208, 165, 198, 177,
       4,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 162,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,  66,   1,   0,   0,
+     37,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 199,   1,   0,   0,
+     33,   0,   0,   0, 199,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  69, 120,  99, 104,  97,
-    110, 103, 101,   0,   0,   0,   0,   0,
+    110, 117, 116, 109, 101, 103,  97, 114,
+     99, 104,  47, 112, 114, 111, 116, 111,
+     99, 111, 108,  47, 112, 101, 101, 114,
+     46,  99,  97, 112, 110, 112,  58,  69,
+    120,  99, 104,  97, 110, 103, 101,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
      32,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1294,25 +1315,28 @@
 static const uint16_t m_f03d1315d37be1ff[] = {3, 4, 0, 1, 2, 5, 6, 7};
 static const uint16_t i_f03d1315d37be1ff[] = {0, 1, 2, 3, 4, 5, 6, 7};
 const ::capnp::_::RawSchema s_f03d1315d37be1ff = {
-  0xf03d1315d37be1ff, b_f03d1315d37be1ff.words, 152, d_f03d1315d37be1ff, m_f03d1315d37be1ff,
+  0xf03d1315d37be1ff, b_f03d1315d37be1ff.words, 154, d_f03d1315d37be1ff, m_f03d1315d37be1ff,
   3, 8, i_f03d1315d37be1ff, nullptr, nullptr, { &s_f03d1315d37be1ff, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<59> b_b096523965fe9c1e = {
+static const ::capnp::_::AlignedData<62> b_b096523965fe9c1e = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      30, 156, 254, 101,  57,  82, 150, 176,
-     11,   0,   0,   0,   3,   0,   0,   0,
+     31,   0,   0,   0,   3,   0,   0,   0,
      33,  71, 243, 233, 208, 165, 198, 177,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 130,   0,   0,   0,
-     25,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,  34,   1,   0,   0,
+     37,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,   7,   1,   0,   0,
-    189,   0,   0,   0,   7,   0,   0,   0,
+     33,   0,   0,   0,   7,   1,   0,   0,
+    201,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  80, 101, 101, 114,   0,
+    110, 117, 116, 109, 101, 103,  97, 114,
+     99, 104,  47, 112, 114, 111, 116, 111,
+     99, 111, 108,  47, 112, 101, 101, 114,
+     46,  99,  97, 112, 110, 112,  58,  80,
+    101, 101, 114,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
      16,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1373,27 +1397,29 @@
 };
 static const uint16_t m_b096523965fe9c1e[] = {0, 2, 1, 3};
 const ::capnp::_::RawSchema s_b096523965fe9c1e = {
-  0xb096523965fe9c1e, b_b096523965fe9c1e.words, 59, d_b096523965fe9c1e, m_b096523965fe9c1e,
+  0xb096523965fe9c1e, b_b096523965fe9c1e.words, 62, d_b096523965fe9c1e, m_b096523965fe9c1e,
   8, 4, nullptr, nullptr, nullptr, { &s_b096523965fe9c1e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<47> b_ac5de8bf6538d978 = {
+static const ::capnp::_::AlignedData<49> b_ac5de8bf6538d978 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     120, 217,  56, 101, 191, 232,  93, 172,
-     16,   0,   0,   0,   1,   0,   0,   0,
+     36,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       2,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 226,   0,   0,   0,
+     21,   0,   0,   0, 130,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 119,   0,   0,   0,
+     33,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  80, 101, 101, 114,  46,
-     99,  97, 108, 108,  36,  80,  97, 114,
-     97, 109, 115,   0,   0,   0,   0,   0,
+    110, 117, 116, 109, 101, 103,  97, 114,
+     99, 104,  47, 112, 114, 111, 116, 111,
+     99, 111, 108,  47, 112, 101, 101, 114,
+     46,  99,  97, 112, 110, 112,  58,  80,
+    101, 101, 114,  46,  99,  97, 108, 108,
+     36,  80,  97, 114,  97, 109, 115,   0,
       8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
@@ -1435,27 +1461,30 @@
 static const uint16_t m_ac5de8bf6538d978[] = {0, 1};
 static const uint16_t i_ac5de8bf6538d978[] = {0, 1};
 const ::capnp::_::RawSchema s_ac5de8bf6538d978 = {
-  0xac5de8bf6538d978, b_ac5de8bf6538d978.words, 47, d_ac5de8bf6538d978, m_ac5de8bf6538d978,
+  0xac5de8bf6538d978, b_ac5de8bf6538d978.words, 49, d_ac5de8bf6538d978, m_ac5de8bf6538d978,
   2, 2, i_ac5de8bf6538d978, nullptr, nullptr, { &s_ac5de8bf6538d978, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<32> b_f6c175133de8f4f4 = {
+static const ::capnp::_::AlignedData<35> b_f6c175133de8f4f4 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     244, 244, 232,  61,  19, 117, 193, 246,
-     16,   0,   0,   0,   1,   0,   0,   0,
+     36,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 234,   0,   0,   0,
+     21,   0,   0,   0, 138,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  63,   0,   0,   0,
+     37,   0,   0,   0,  63,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  80, 101, 101, 114,  46,
-     99,  97, 108, 108,  36,  82, 101, 115,
-    117, 108, 116, 115,   0,   0,   0,   0,
+    110, 117, 116, 109, 101, 103,  97, 114,
+     99, 104,  47, 112, 114, 111, 116, 111,
+     99, 111, 108,  47, 112, 101, 101, 114,
+     46,  99,  97, 112, 110, 112,  58,  80,
+    101, 101, 114,  46,  99,  97, 108, 108,
+     36,  82, 101, 115, 117, 108, 116, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
       4,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
@@ -1481,28 +1510,30 @@
 static const uint16_t m_f6c175133de8f4f4[] = {0};
 static const uint16_t i_f6c175133de8f4f4[] = {0};
 const ::capnp::_::RawSchema s_f6c175133de8f4f4 = {
-  0xf6c175133de8f4f4, b_f6c175133de8f4f4.words, 32, d_f6c175133de8f4f4, m_f6c175133de8f4f4,
+  0xf6c175133de8f4f4, b_f6c175133de8f4f4.words, 35, d_f6c175133de8f4f4, m_f6c175133de8f4f4,
   1, 1, i_f6c175133de8f4f4, nullptr, nullptr, { &s_f6c175133de8f4f4, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<33> b_c1bbded3ac9e61db = {
+static const ::capnp::_::AlignedData<35> b_c1bbded3ac9e61db = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     219,  97, 158, 172, 211, 222, 187, 193,
-     16,   0,   0,   0,   1,   0,   0,   0,
+     36,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  26,   1,   0,   0,
+     21,   0,   0,   0, 186,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,  63,   0,   0,   0,
+     37,   0,   0,   0,  63,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  80, 101, 101, 114,  46,
-    105, 115, 115, 117, 101,  84, 105,  99,
-    107, 101, 116,  36,  80,  97, 114,  97,
-    109, 115,   0,   0,   0,   0,   0,   0,
+    110, 117, 116, 109, 101, 103,  97, 114,
+     99, 104,  47, 112, 114, 111, 116, 111,
+     99, 111, 108,  47, 112, 101, 101, 114,
+     46,  99,  97, 112, 110, 112,  58,  80,
+    101, 101, 114,  46, 105, 115, 115, 117,
+    101,  84, 105,  99, 107, 101, 116,  36,
+     80,  97, 114,  97, 109, 115,   0,   0,
       4,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
@@ -1528,28 +1559,30 @@
 static const uint16_t m_c1bbded3ac9e61db[] = {0};
 static const uint16_t i_c1bbded3ac9e61db[] = {0};
 const ::capnp::_::RawSchema s_c1bbded3ac9e61db = {
-  0xc1bbded3ac9e61db, b_c1bbded3ac9e61db.words, 33, d_c1bbded3ac9e61db, m_c1bbded3ac9e61db,
+  0xc1bbded3ac9e61db, b_c1bbded3ac9e61db.words, 35, d_c1bbded3ac9e61db, m_c1bbded3ac9e61db,
   1, 1, i_c1bbded3ac9e61db, nullptr, nullptr, { &s_c1bbded3ac9e61db, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<33> b_bcf67a4fdaa27d28 = {
+static const ::capnp::_::AlignedData<35> b_bcf67a4fdaa27d28 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      40, 125, 162, 218,  79, 122, 246, 188,
-     16,   0,   0,   0,   1,   0,   0,   0,
+     36,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  34,   1,   0,   0,
+     21,   0,   0,   0, 194,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,  63,   0,   0,   0,
+     37,   0,   0,   0,  63,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  80, 101, 101, 114,  46,
-    105, 115, 115, 117, 101,  84, 105,  99,
-    107, 101, 116,  36,  82, 101, 115, 117,
-    108, 116, 115,   0,   0,   0,   0,   0,
+    110, 117, 116, 109, 101, 103,  97, 114,
+     99, 104,  47, 112, 114, 111, 116, 111,
+     99, 111, 108,  47, 112, 101, 101, 114,
+     46,  99,  97, 112, 110, 112,  58,  80,
+    101, 101, 114,  46, 105, 115, 115, 117,
+    101,  84, 105,  99, 107, 101, 116,  36,
+     82, 101, 115, 117, 108, 116, 115,   0,
       4,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
@@ -1575,27 +1608,30 @@
 static const uint16_t m_bcf67a4fdaa27d28[] = {0};
 static const uint16_t i_bcf67a4fdaa27d28[] = {0};
 const ::capnp::_::RawSchema s_bcf67a4fdaa27d28 = {
-  0xbcf67a4fdaa27d28, b_bcf67a4fdaa27d28.words, 33, d_bcf67a4fdaa27d28, m_bcf67a4fdaa27d28,
+  0xbcf67a4fdaa27d28, b_bcf67a4fdaa27d28.words, 35, d_bcf67a4fdaa27d28, m_bcf67a4fdaa27d28,
   1, 1, i_bcf67a4fdaa27d28, nullptr, nullptr, { &s_bcf67a4fdaa27d28, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<32> b_a7f18fa30f789895 = {
+static const ::capnp::_::AlignedData<35> b_a7f18fa30f789895 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     149, 152, 120,  15, 163, 143, 241, 167,
-     16,   0,   0,   0,   1,   0,   0,   0,
+     36,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,   2,   1,   0,   0,
+     21,   0,   0,   0, 162,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  63,   0,   0,   0,
+     37,   0,   0,   0,  63,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  80, 101, 101, 114,  46,
-    101, 120,  99, 104,  97, 110, 103, 101,
-     36,  80,  97, 114,  97, 109, 115,   0,
+    110, 117, 116, 109, 101, 103,  97, 114,
+     99, 104,  47, 112, 114, 111, 116, 111,
+     99, 111, 108,  47, 112, 101, 101, 114,
+     46,  99,  97, 112, 110, 112,  58,  80,
+    101, 101, 114,  46, 101, 120,  99, 104,
+     97, 110, 103, 101,  36,  80,  97, 114,
+     97, 109, 115,   0,   0,   0,   0,   0,
       4,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
@@ -1621,28 +1657,30 @@
 static const uint16_t m_a7f18fa30f789895[] = {0};
 static const uint16_t i_a7f18fa30f789895[] = {0};
 const ::capnp::_::RawSchema s_a7f18fa30f789895 = {
-  0xa7f18fa30f789895, b_a7f18fa30f789895.words, 32, d_a7f18fa30f789895, m_a7f18fa30f789895,
+  0xa7f18fa30f789895, b_a7f18fa30f789895.words, 35, d_a7f18fa30f789895, m_a7f18fa30f789895,
   1, 1, i_a7f18fa30f789895, nullptr, nullptr, { &s_a7f18fa30f789895, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<33> b_e80ee0eae34aba48 = {
+static const ::capnp::_::AlignedData<35> b_e80ee0eae34aba48 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      72, 186,  74, 227, 234, 224,  14, 232,
-     16,   0,   0,   0,   1,   0,   0,   0,
+     36,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  10,   1,   0,   0,
+     21,   0,   0,   0, 170,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,  63,   0,   0,   0,
+     37,   0,   0,   0,  63,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  80, 101, 101, 114,  46,
-    101, 120,  99, 104,  97, 110, 103, 101,
-     36,  82, 101, 115, 117, 108, 116, 115,
-      0,   0,   0,   0,   0,   0,   0,   0,
+    110, 117, 116, 109, 101, 103,  97, 114,
+     99, 104,  47, 112, 114, 111, 116, 111,
+     99, 111, 108,  47, 112, 101, 101, 114,
+     46,  99,  97, 112, 110, 112,  58,  80,
+    101, 101, 114,  46, 101, 120,  99, 104,
+     97, 110, 103, 101,  36,  82, 101, 115,
+    117, 108, 116, 115,   0,   0,   0,   0,
       4,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
@@ -1668,57 +1706,62 @@
 static const uint16_t m_e80ee0eae34aba48[] = {0};
 static const uint16_t i_e80ee0eae34aba48[] = {0};
 const ::capnp::_::RawSchema s_e80ee0eae34aba48 = {
-  0xe80ee0eae34aba48, b_e80ee0eae34aba48.words, 33, d_e80ee0eae34aba48, m_e80ee0eae34aba48,
+  0xe80ee0eae34aba48, b_e80ee0eae34aba48.words, 35, d_e80ee0eae34aba48, m_e80ee0eae34aba48,
   1, 1, i_e80ee0eae34aba48, nullptr, nullptr, { &s_e80ee0eae34aba48, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<16> b_dfcd8d8b1d6c1820 = {
+static const ::capnp::_::AlignedData<18> b_dfcd8d8b1d6c1820 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      32,  24, 108,  29, 139, 141, 205, 223,
-     16,   0,   0,   0,   1,   0,   0,   0,
+     36,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 226,   0,   0,   0,
+     21,   0,   0,   0, 130,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  80, 101, 101, 114,  46,
-    112, 105, 110, 103,  36,  80,  97, 114,
-     97, 109, 115,   0,   0,   0,   0,   0, }
+    110, 117, 116, 109, 101, 103,  97, 114,
+     99, 104,  47, 112, 114, 111, 116, 111,
+     99, 111, 108,  47, 112, 101, 101, 114,
+     46,  99,  97, 112, 110, 112,  58,  80,
+    101, 101, 114,  46, 112, 105, 110, 103,
+     36,  80,  97, 114,  97, 109, 115,   0, }
 };
 ::capnp::word const* const bp_dfcd8d8b1d6c1820 = b_dfcd8d8b1d6c1820.words;
 #if !CAPNP_LITE
 const ::capnp::_::RawSchema s_dfcd8d8b1d6c1820 = {
-  0xdfcd8d8b1d6c1820, b_dfcd8d8b1d6c1820.words, 16, nullptr, nullptr,
+  0xdfcd8d8b1d6c1820, b_dfcd8d8b1d6c1820.words, 18, nullptr, nullptr,
   0, 0, nullptr, nullptr, nullptr, { &s_dfcd8d8b1d6c1820, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<16> b_81f1ad2c1c5f3fb4 = {
+static const ::capnp::_::AlignedData<19> b_81f1ad2c1c5f3fb4 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     180,  63,  95,  28,  44, 173, 241, 129,
-     16,   0,   0,   0,   1,   0,   0,   0,
+     36,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 234,   0,   0,   0,
+     21,   0,   0,   0, 138,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  80, 101, 101, 114,  46,
-    112, 105, 110, 103,  36,  82, 101, 115,
-    117, 108, 116, 115,   0,   0,   0,   0, }
+    110, 117, 116, 109, 101, 103,  97, 114,
+     99, 104,  47, 112, 114, 111, 116, 111,
+     99, 111, 108,  47, 112, 101, 101, 114,
+     46,  99,  97, 112, 110, 112,  58,  80,
+    101, 101, 114,  46, 112, 105, 110, 103,
+     36,  82, 101, 115, 117, 108, 116, 115,
+      0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_81f1ad2c1c5f3fb4 = b_81f1ad2c1c5f3fb4.words;
 #if !CAPNP_LITE
 const ::capnp::_::RawSchema s_81f1ad2c1c5f3fb4 = {
-  0x81f1ad2c1c5f3fb4, b_81f1ad2c1c5f3fb4.words, 16, nullptr, nullptr,
+  0x81f1ad2c1c5f3fb4, b_81f1ad2c1c5f3fb4.words, 19, nullptr, nullptr,
   0, 0, nullptr, nullptr, nullptr, { &s_81f1ad2c1c5f3fb4, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
@@ -1811,7 +1854,7 @@
 }
 ::kj::Promise<void> Peer::Server::call(CallContext) {
   return ::capnp::Capability::Server::internalUnimplemented(
-      "peer.capnp:Peer", "call",
+      "nutmegarch/protocol/peer.capnp:Peer", "call",
       0xb096523965fe9c1eull, 0);
 }
 ::capnp::Request< ::nutmegarch::protocol::wire::Peer::IssueTicketParams,  ::nutmegarch::protocol::wire::Peer::IssueTicketResults>
@@ -1821,7 +1864,7 @@
 }
 ::kj::Promise<void> Peer::Server::issueTicket(IssueTicketContext) {
   return ::capnp::Capability::Server::internalUnimplemented(
-      "peer.capnp:Peer", "issueTicket",
+      "nutmegarch/protocol/peer.capnp:Peer", "issueTicket",
       0xb096523965fe9c1eull, 1);
 }
 ::capnp::Request< ::nutmegarch::protocol::wire::Peer::ExchangeParams,  ::nutmegarch::protocol::wire::Peer::ExchangeResults>
@@ -1831,7 +1874,7 @@
 }
 ::kj::Promise<void> Peer::Server::exchange(ExchangeContext) {
   return ::capnp::Capability::Server::internalUnimplemented(
-      "peer.capnp:Peer", "exchange",
+      "nutmegarch/protocol/peer.capnp:Peer", "exchange",
       0xb096523965fe9c1eull, 2);
 }
 ::capnp::Request< ::nutmegarch::protocol::wire::Peer::PingParams,  ::nutmegarch::protocol::wire::Peer::PingResults>
@@ -1841,7 +1884,7 @@
 }
 ::kj::Promise<void> Peer::Server::ping(PingContext) {
   return ::capnp::Capability::Server::internalUnimplemented(
-      "peer.capnp:Peer", "ping",
+      "nutmegarch/protocol/peer.capnp:Peer", "ping",
       0xb096523965fe9c1eull, 3);
 }
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
@@ -1851,7 +1894,7 @@
     case 0xb096523965fe9c1eull:
       return dispatchCallInternal(methodId, context);
     default:
-      return internalUnimplemented("peer.capnp:Peer", interfaceId);
+      return internalUnimplemented("nutmegarch/protocol/peer.capnp:Peer", interfaceId);
   }
 }
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCallInternal(
@@ -1885,7 +1928,7 @@
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
-          "peer.capnp:Peer",
+          "nutmegarch/protocol/peer.capnp:Peer",
           0xb096523965fe9c1eull, methodId);
   }
 }
