Show the age of the view of the store as metrics

Gauges tell whether the view is confirmed, how long ago it was, and the version of the configuration in force, so that an old view is seen on a node without its log.

--- a/nutmegarch/node/admin_api.cpp
+++ b/nutmegarch/node/admin_api.cpp
@@ -106,6 +106,12 @@
     gauges["unfinished_answer_bytes"] = static_cast<double>(inbound_.unfinished_answer_bytes());
     gauges["rules_version"] = static_cast<double>(state_.rules.order().version);
     gauges["leaving"] = state_.leaving ? 1 : 0;
+    if (state_.dialect) {
+      const time_point now = state_.clock.now();
+      gauges["view_confirmed"] = state_.view.is_confirmed(now) ? 1 : 0;
+      gauges["view_age_seconds"] = to_seconds(now - state_.view.last_confirmed());
+      gauges["configuration_version"] = static_cast<double>(state_.configuration_version());
+    }
   }
   return {200, {{"Content-Type", "text/plain; version=0.0.4"}}, state_.metrics.to_text(gauges)};
 }
--- a/unit_tests/platform/platform_path_test.cpp
+++ b/unit_tests/platform/platform_path_test.cpp
@@ -459,6 +459,8 @@
   start_node(1, false);
   BOOST_TEST(is_never_denied_and_served(1, "/added/"));
   BOOST_TEST(is_ready(1));
+  BOOST_TEST(metrics(1).find("nutmegarch_view_confirmed 1") != std::string::npos);
+  BOOST_TEST(metrics(1).find("nutmegarch_configuration_version 2") != std::string::npos);
   BOOST_TEST(send_request(1, "GET", "/nowhere/").status == 404);
 }
 
