Show the memory of the process and of each queue that others fill

No line or metric showed the memory of a process, so that a process which ended for its memory left no trace of what had filled it. Metrics now show the resident set and its peak, and apart from each other the bytes of requests being read, answers not taken, answers of the target being read, requests and answers that wait for peers, open calls, documents and the log buffer. memory-step is logged when the resident set passes 32 MB or a doubling of it, again only after it was below half of that, with the fullest queue. The resident set is absent where the system does not tell it.

The server reads requests piece by piece, so that it knows the size of what it has read.

--- a/nutmegarch/http/server.cpp
+++ b/nutmegarch/http/server.cpp
@@ -66,6 +66,8 @@
   /// Number of connections on which an answer is being written, or whose caller has not closed after the last
   /// one.
   std::atomic<int> writing_count{0};
+  std::atomic<std::size_t> unfinished_request_bytes{0};
+  std::atomic<std::size_t> unwritten_answer_bytes{0};
   std::atomic<bool> stopping{false};
 };
 
@@ -81,6 +83,8 @@
   session& operator=(const session&) = delete;
   ~session() {
     set_counted_as_writing(false);
+    set_unfinished_request_bytes(0);
+    state_->unwritten_answer_bytes -= answer_bytes_;
     --state_->connection_count;
   }
 
@@ -114,6 +118,8 @@
     std::uint64_t exchange_id = 0;
     bool keep_alive = true;
     std::optional<answer_message> answer;
+    /// Bytes of the answer's body; kept while it is being written.
+    std::size_t answer_bytes = 0;
     /// Bytes of the bodies of the request and its answer.
     std::size_t body_bytes = 0;
   };
@@ -138,10 +144,25 @@
     parser_->header_limit(static_cast<std::uint32_t>(max_head_bytes));
     // Bounds chunk extensions and trailers, which the parser's own limits do not cover.
     buffer_.max_size(std::max(max_head_bytes, buffer_.size()));
+    parser_->eager(true);
     stream_.expires_never();
-    beast::http::async_read(
+    read_some();
+  }
+
+  void read_some() {
+    beast::http::async_read_some(
         stream_, buffer_, *parser_,
-        [self = shared_from_this()](beast::error_code error, std::size_t) { self->on_read(error); });
+        [self = shared_from_this()](beast::error_code error, std::size_t) { self->on_read_some(error); });
+  }
+
+  void on_read_some(beast::error_code error) {
+    if (!error && !parser_->is_done() && !is_closed_ && !is_lingering_) {
+      set_unfinished_request_bytes(parser_->get().body().size());
+      read_some();
+      return;
+    }
+    set_unfinished_request_bytes(0);
+    on_read(error);
   }
 
   void on_read(beast::error_code error) {
@@ -165,7 +186,7 @@
     }
     beast_request request = parser_->release();
     const std::uint64_t exchange_id = next_exchange_id();
-    pending_requests_.push_back({exchange_id, request.keep_alive(), std::nullopt, request.body().size()});
+    pending_requests_.push_back({exchange_id, request.keep_alive(), std::nullopt, 0, request.body().size()});
     pending_bytes_ += request.body().size();
     is_accepting_requests_ = request.keep_alive() && !state_->stopping;
     state_->handler->on_request(exchange_id, from_beast(std::move(request)),
@@ -221,7 +242,7 @@
       problem = make_problem(call_outcome::not_run, call_reason::too_large, "");
     }
     is_accepting_requests_ = false;
-    pending_requests_.push_back({next_exchange_id(), false, std::move(problem), 0});
+    pending_requests_.push_back({next_exchange_id(), false, std::move(problem), 0, 0});
     write_answer();
   }
 
@@ -263,6 +284,7 @@
     std::deque<pending_request> abandoned;
     abandoned.swap(pending_requests_);
     for (const pending_request& pending : abandoned) {
+      subtract_answer_bytes(pending.answer_bytes);
       if (!pending.answer) {
         state_->handler->on_disconnect(pending.exchange_id);
       }
@@ -273,6 +295,8 @@
     for (pending_request& pending : pending_requests_) {
       if (pending.exchange_id == exchange_id && !pending.answer) {
         pending.body_bytes += content.body.size();
+        pending.answer_bytes = content.body.size();
+        add_answer_bytes(content.body.size());
         pending_bytes_ += content.body.size();
         pending.answer = std::move(content);
         break;
@@ -309,6 +333,7 @@
       return;
     }
     pending_bytes_ -= pending_requests_.front().body_bytes;
+    subtract_answer_bytes(pending_requests_.front().answer_bytes);
     pending_requests_.pop_front();
     if (error) {
       disconnect();
@@ -336,6 +361,23 @@
     stream_.close();
   }
 
+  /// Sets this connection's part of server_state::unfinished_request_bytes.
+  void set_unfinished_request_bytes(std::size_t bytes) {
+    // Unsigned arithmetic wraps, so the difference may be negative.
+    state_->unfinished_request_bytes += bytes - unfinished_request_bytes_;
+    unfinished_request_bytes_ = bytes;
+  }
+
+  void add_answer_bytes(std::size_t bytes) {
+    answer_bytes_ += bytes;
+    state_->unwritten_answer_bytes += bytes;
+  }
+
+  void subtract_answer_bytes(std::size_t bytes) {
+    answer_bytes_ -= bytes;
+    state_->unwritten_answer_bytes -= bytes;
+  }
+
   /// Adds this connection to server_state::writing_count or removes it; does nothing if that is done already.
   void set_counted_as_writing(bool is_writing) {
     if (is_writing != is_counted_as_writing_) {
@@ -352,6 +394,10 @@
   std::deque<pending_request> pending_requests_;
   /// Sum of pending_request::body_bytes.
   std::size_t pending_bytes_ = 0;
+  /// Sum of pending_request::answer_bytes.
+  std::size_t answer_bytes_ = 0;
+  /// Bytes of the body of the request that is being read.
+  std::size_t unfinished_request_bytes_ = 0;
   std::chrono::steady_clock::time_point last_activity_;
   bool is_reading_ = false;
   bool is_writing_ = false;
@@ -414,6 +460,9 @@
   }
 
   bool has_no_pending_writes() const { return state_->writing_count == 0; }
+  server_buffers buffers() const {
+    return {state_->unfinished_request_bytes, state_->unwritten_answer_bytes};
+  }
   int port() const { return acceptor_.local_endpoint().port(); }
 
  private:
@@ -517,6 +566,8 @@
 
 bool server::has_no_pending_writes() const { return listener_->has_no_pending_writes(); }
 
+server_buffers server::buffers() const { return listener_->buffers(); }
+
 int server::port() const { return listener_->port(); }
 
 }  // namespace nutmegarch::http
--- a/nutmegarch/http/server.h
+++ b/nutmegarch/http/server.h
@@ -53,6 +53,14 @@
   int max_connections = 1024;
 };
 
+/// Bytes of bodies that a server holds for its callers.
+struct server_buffers {
+  /// Requests that are being read.
+  std::size_t unfinished_request_bytes = 0;
+  /// Answers that have not been written completely.
+  std::size_t unwritten_answer_bytes = 0;
+};
+
 /// HTTP/1.1 server on one address, with keep-alive and pipelining.
 class server {
  public:
@@ -75,6 +83,8 @@
   /// True if no answer is being written and no caller has yet to close after its connection's last answer.
   /// Thread-safe.
   bool has_no_pending_writes() const;
+  /// Bytes held for callers now. Thread-safe.
+  server_buffers buffers() const;
   /// The port that the server listens on; only after a successful start().
   int port() const;
 
--- a/nutmegarch/membership/document_table.cpp
+++ b/nutmegarch/membership/document_table.cpp
@@ -47,4 +47,12 @@
   return newer;
 }
 
+std::size_t document_table::size_in_bytes() const {
+  std::size_t total = 0;
+  for (const std::pair<const std::string, document>& stored : documents_) {
+    total += stored.second.body.size();
+  }
+  return total;
+}
+
 }  // namespace nutmegarch::membership
--- a/nutmegarch/membership/document_table.h
+++ b/nutmegarch/membership/document_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -43,6 +44,9 @@
   /// contain are left out.
   std::vector<document> newer_than(const std::vector<document_stamp>& digest) const;
 
+  /// Bytes of the bodies of all stored documents.
+  std::size_t size_in_bytes() const;
+
   /// Stamp for requesting a document that is not stored yet. It is older than any document.
   static document_stamp missing_stamp(const std::string& key) { return {key, 0, 0, 0}; }
 
--- a/nutmegarch/node/admin_api.cpp
+++ b/nutmegarch/node/admin_api.cpp
@@ -95,6 +95,14 @@
 
 answer_message admin_api::metrics() const {
   std::map<std::string, double> gauges;
+  const memory_usage memory = memory_.measure();
+  for (const std::pair<std::string, std::size_t>& queue : memory.queues) {
+    gauges[queue.first] = static_cast<double>(queue.second);
+  }
+  if (memory.process) {
+    gauges["resident_bytes"] = static_cast<double>(memory.process->resident_bytes);
+    gauges["peak_resident_bytes"] = static_cast<double>(memory.process->peak_bytes);
+  }
   {
     const std::lock_guard<std::mutex> lock(state_.mutex);
     gauges["running"] = state_.receiver.running();
@@ -103,7 +111,6 @@
     gauges["level_cutoff"] = state_.receiver.level().cutoff;
     gauges["outbound_open"] = static_cast<double>(outbound_.size());
     gauges["inbound_open"] = static_cast<double>(inbound_.size());
-    gauges["unfinished_answer_bytes"] = static_cast<double>(inbound_.unfinished_answer_bytes());
     gauges["rules_version"] = static_cast<double>(state_.rules.order().version);
     gauges["leaving"] = state_.leaving ? 1 : 0;
   }
--- a/nutmegarch/node/admin_api.h
+++ b/nutmegarch/node/admin_api.h
@@ -5,6 +5,7 @@
 
 #include "nutmegarch/http/server.h"
 #include "nutmegarch/node/inbound_path.h"
+#include "nutmegarch/node/memory_monitor.h"
 #include "nutmegarch/node/outbound_path.h"
 
 namespace nutmegarch::node {
@@ -13,8 +14,9 @@
 /// it. Thread-safe.
 class admin_api final : public http::request_handler {
  public:
-  admin_api(node_state& state, const inbound_path& inbound, const outbound_path& outbound)
-      : state_(state), inbound_(inbound), outbound_(outbound) {}
+  admin_api(node_state& state, const inbound_path& inbound, const outbound_path& outbound,
+            const memory_monitor& memory)
+      : state_(state), inbound_(inbound), outbound_(outbound), memory_(memory) {}
 
   void on_request(std::uint64_t exchange_id, request_message request, answer_callback answer) override;
 
@@ -32,6 +34,7 @@
   node_state& state_;
   const inbound_path& inbound_;
   const outbound_path& outbound_;
+  const memory_monitor& memory_;
 };
 
 }  // namespace nutmegarch::node
--- a/nutmegarch/node/inbound_path.cpp
+++ b/nutmegarch/node/inbound_path.cpp
@@ -233,6 +233,14 @@
   return calls_.empty();
 }
 
+std::size_t inbound_path::size_in_bytes() const {
+  std::size_t total = 0;
+  for (const std::pair<const std::uint64_t, call_entry>& entry : calls_) {
+    total += entry.second.request->body.size();
+  }
+  return total;
+}
+
 std::optional<protocol::peer_answer> inbound_path::refuse_early(const protocol::peer_call& call,
                                                                 const answer_callback& answer,
                                                                 call_entry& new_entry, time_point now) {
--- a/nutmegarch/node/inbound_path.h
+++ b/nutmegarch/node/inbound_path.h
@@ -81,6 +81,8 @@
   bool is_idle() const;
   /// Number of calls that are running or waiting. Requires the state's lock.
   std::size_t size() const { return calls_.size(); }
+  /// Bytes of the bodies of these calls' requests. Requires the state's lock.
+  std::size_t size_in_bytes() const;
 
  private:
   struct call_entry {
--- a/nutmegarch/node/node.cpp
+++ b/nutmegarch/node/node.cpp
@@ -24,8 +24,9 @@
       published_(adapter ? std::make_shared<store_synchronizer>(state_, adapter->make_source(workers_))
                          : nullptr),
       control_(std::make_shared<control_path>(state_, workers_, peers_, published_)),
-      admin_(state_, *inbound_, *outbound_),
       callers_server_(workers_, settings.callers, *outbound_),
+      memory_(state_, *inbound_, *outbound_, peers_, callers_server_),
+      admin_(state_, *inbound_, *outbound_, memory_),
       admin_server_(workers_, {}, admin_),
       readiness_(state_),
       ready_server_(workers_, {}, readiness_),
@@ -161,6 +162,7 @@
   if (published_) {
     published_->on_tick();
   }
+  memory_.on_tick(now);
   advance_leaving(now);
   observe::flush_log();
   if (!has_left_) {
--- a/nutmegarch/node/node.h
+++ b/nutmegarch/node/node.h
@@ -67,8 +67,9 @@
   /// Null where the node reads the product's own configuration service.
   std::shared_ptr<store_synchronizer> published_;
   std::shared_ptr<control_path> control_;
-  admin_api admin_;
   http::server callers_server_;
+  memory_monitor memory_;
+  admin_api admin_;
   http::server admin_server_;
   readiness_api readiness_;
   http::server ready_server_;
--- a/nutmegarch/node/outbound_path.cpp
+++ b/nutmegarch/node/outbound_path.cpp
@@ -118,6 +118,17 @@
   return calls_.empty();
 }
 
+std::size_t outbound_path::size_in_bytes() const {
+  std::size_t total = 0;
+  for (const std::pair<const std::uint64_t, open_call>& entry : calls_) {
+    total += entry.second.request->body.size();
+    for (const std::pair<const std::size_t, protocol::peer_answer>& answer : entry.second.answers) {
+      total += answer.second.message.body.size();
+    }
+  }
+  return total;
+}
+
 void outbound_path::start_routed(pending_call pending) {
   call_reason reject_reason = call_reason::none;
   {
--- a/nutmegarch/node/outbound_path.h
+++ b/nutmegarch/node/outbound_path.h
@@ -31,6 +31,8 @@
   std::uint64_t started_calls() const { return started_calls_; }
   /// Number of open calls. The caller holds the state's lock.
   std::size_t size() const { return calls_.size(); }
+  /// Bytes of the bodies of the open calls' requests and answers. The caller holds the state's lock.
+  std::size_t size_in_bytes() const;
 
  private:
   /// Handle to cancel an unfinished attempt.
--- a/nutmegarch/observe/line_buffer.cpp
+++ b/nutmegarch/observe/line_buffer.cpp
@@ -59,6 +59,11 @@
   }
 }
 
+std::size_t line_buffer::size_in_bytes() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return bytes_;
+}
+
 std::uint64_t line_buffer::dropped() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return dropped_;
--- a/nutmegarch/observe/line_buffer.h
+++ b/nutmegarch/observe/line_buffer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <mutex>
@@ -20,6 +21,9 @@
   /// Writes as much as the descriptor takes at once. Waits at most `patience_ms` for its reader.
   void flush(int patience_ms = 0);
 
+  /// Bytes of the lines that wait.
+  std::size_t size_in_bytes() const;
+
   /// Lines dropped so far.
   std::uint64_t dropped() const;
 
--- a/nutmegarch/observe/log.cpp
+++ b/nutmegarch/observe/log.cpp
@@ -83,6 +83,8 @@
   output().flush(static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(patience).count()));
 }
 
+std::size_t waiting_log_bytes() { return output().size_in_bytes(); }
+
 void log_event(log_level level, const std::string& event, const log_fields& fields) {
   if (level < least_level) {
     return;
--- a/nutmegarch/observe/log.h
+++ b/nutmegarch/observe/log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -33,6 +34,9 @@
 /// it. Says how many lines were dropped since the last call.
 void flush_log(duration patience = {});
 
+/// Bytes of the lines that wait for flush_log(). Any thread may call it.
+std::size_t waiting_log_bytes();
+
 /// Writes one line for one event. Any thread may call it.
 void log_event(log_level level, const std::string& event, const log_fields& fields);
 
--- a/unit_tests/docs/docs_test.cpp
+++ b/unit_tests/docs/docs_test.cpp
@@ -87,6 +87,17 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(every_metric_of_memory_is_on_the_page_of_operations) {
+  const std::string page = read_file("docs/OPERATIONS.md");
+  std::set<std::string> in_code =
+      matches(read_file("nutmegarch/node/memory_monitor.cpp"), "\"([a-z_]+_bytes)\", (?!std)");
+  in_code.merge(matches(read_file("nutmegarch/node/admin_api.cpp"), "gauges\\[\"([a-z_]+_bytes)\"\\]"));
+  BOOST_TEST(in_code.size() >= 11U);
+  for (const std::string& name : in_code) {
+    BOOST_TEST(page.find("`nutmegarch_" + name + '`') != std::string::npos, name);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(every_page_of_the_index_exists) {
   for (const std::string& page : matches(read_file("docs/README.md"), "\\(([A-Za-z/]+\\.md)\\)")) {
     read_file("docs/" + page);
--- a/unit_tests/http/http_test.cpp
+++ b/unit_tests/http/http_test.cpp
@@ -238,6 +238,14 @@
   }
 };
 
+/// Waits until the condition holds; returns false after 20 s.
+bool wait_until(const std::function<bool()>& condition) {
+  for (int i = 0; i < 2'000 && !condition(); ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return condition();
+}
+
 constexpr duration test_timeout = std::chrono::seconds(20);
 
 }  // namespace
@@ -316,6 +324,23 @@
   BOOST_TEST(!fixture.read_until("to /1").empty());
 }
 
+BOOST_AUTO_TEST_CASE(unfinished_requests_and_unwritten_answers_are_counted_until_they_end) {
+  deferred_answer_server fixture;
+  constexpr std::size_t body_bytes = 100'000;
+  fixture.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_REQUIRE(fixture.handler.wait_for_requests(2));
+  fixture.handler.answer(1, body_bytes);
+  BOOST_TEST(wait_until([&]() { return fixture.tested.buffers().unwritten_answer_bytes > body_bytes; }));
+  fixture.send("POST /3 HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n" +
+               std::string(body_bytes, 'a'));
+  BOOST_TEST(wait_until([&]() { return fixture.tested.buffers().unfinished_request_bytes == body_bytes; }));
+  fixture.handler.answer(0);
+  fixture.read_until("to /2");
+  BOOST_TEST(wait_until([&]() { return fixture.tested.buffers().unwritten_answer_bytes == 0; }));
+  fixture.socket.close();
+  BOOST_TEST(wait_until([&]() { return fixture.tested.buffers().unfinished_request_bytes == 0; }));
+}
+
 BOOST_AUTO_TEST_CASE(a_disconnect_is_reported_for_each_pending_request) {
   deferred_answer_server fixture;
   fixture.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
--- a/unit_tests/platform/platform_path_test.cpp
+++ b/unit_tests/platform/platform_path_test.cpp
@@ -360,6 +360,7 @@
   BOOST_TEST(unknown > 0);
   BOOST_TEST(metrics(1).find("nutmegarch_target_answers_malformed_total") != std::string::npos);
   BOOST_TEST(metrics(1).find("nutmegarch_unfinished_answer_bytes 0") != std::string::npos);
+  BOOST_TEST(metrics(1).find("nutmegarch_resident_bytes ") != std::string::npos);
 }
 
 BOOST_FIXTURE_TEST_CASE(draining_server_receives_no_requests, small_platform) {
