--- a/nutmegarch/node/admin_api.cpp
+++ b/nutmegarch/node/admin_api.cpp
@@ -117,7 +117,7 @@
     gauges["leaving"] = state_.leaving ? 1 : 0;
     if (state_.dialect) {
       const time_point now = state_.clock.now();
-      gauges["view_confirmed"] = state_.view.is_confirmed(now) ? 1 : 0;
+      gauges["view_confirmed"] = state_.view.is_confirmed() ? 1 : 0;
       gauges["view_age_seconds"] = to_seconds(now - state_.view.last_confirmed());
       gauges["configuration_version"] = static_cast<double>(state_.configuration_version());
     }
