Refuse calls that wait for a leaving target after a second

Requests reached servers longer than the drain time after their leaving had been acknowledged, without any restart: calls that waited in the node's queue beside the server still started there when a slot became free, 2.5 s and more after that node had read the entry. Under load the queue is that long.

The node now refuses the calls that wait for a process which has been leaving for 1 s, as not run and with the reason "leaving"; the sender tries another server at no cost of its retry budget. Calls that can start within that second still do, since other servers have queues, too.

--- a/nutmegarch/node/inbound_path.cpp
+++ b/nutmegarch/node/inbound_path.cpp
@@ -21,6 +21,14 @@
 /// Time between two checks of the idle connections to the target.
 constexpr duration idle_check_interval = std::chrono::seconds(1);
 
+/// Calls that wait for a leaving target process may still start for this long, because other targets have
+/// queues, too. Together with the time until the node learns of the departure it stays below the 2.5 s after
+/// which a leaving process must get no requests.
+constexpr duration departure_wait = std::chrono::seconds(1);
+
+/// Time between two checks of the waiting calls for leaving target processes.
+constexpr duration departure_check_interval = std::chrono::milliseconds(100);
+
 /// Key of a request id in lookup tables.
 std::uint64_t hash_of(const request_id& id) { return hash_number(id.low, id.high); }
 
@@ -141,6 +149,7 @@
     const admission_level before = state_.receiver.level();
     policy::receiver_actions actions;
     state_.receiver.on_tick(now, actions);
+    withdraw_from_leaving_targets(now, actions);
     apply_actions(actions, deferred);
     const admission_level after = state_.receiver.level();
     if (!(before == after)) {
@@ -155,6 +164,20 @@
   }
 }
 
+void inbound_path::withdraw_from_leaving_targets(time_point now, policy::receiver_actions& actions) {
+  if (now < next_departure_check_ || state_.receiver.waiting() == 0) {
+    return;
+  }
+  next_departure_check_ = now + departure_check_interval;
+  for (const std::pair<const std::uint64_t, call_entry>& entry : calls_) {
+    const policy::inbound_call_ptr& call = entry.second.call;
+    if (call->phase == policy::inbound_phase::waiting && !call->context.instance.empty() &&
+        state_.departures.leaving_for(call->context.instance, now).value_or(duration{}) >= departure_wait) {
+      state_.receiver.withdraw(call, call_reason::leaving, now, actions);
+    }
+  }
+}
+
 std::optional<parent_call> inbound_path::find_parent(const request_id& id) const {
   auto key = key_by_request_.find(hash_of(id));
   if (key == key_by_request_.end()) {
@@ -355,7 +378,12 @@
     if (state_.dialect) {
       state_.requests.on_refused(*action.call, action.reason, state_.receiver, state_.clock.now());
     }
-    end_call(action.call->key, make_refusal(call_outcome::not_run, action.reason), deferred);
+    protocol::peer_answer content = make_refusal(call_outcome::not_run, action.reason);
+    if (action.reason == call_reason::leaving && !action.call->context.instance.empty()) {
+      content.leaving_process_started_ms =
+          state_.departures.announced_start({action.call->context.instance, 0});
+    }
+    end_call(action.call->key, std::move(content), deferred);
   }
 }
 
--- a/nutmegarch/node/inbound_path.h
+++ b/nutmegarch/node/inbound_path.h
@@ -135,6 +135,9 @@
   void apply_actions(const policy::receiver_actions& actions, deferred_work& deferred);
   void end_call(std::uint64_t key, protocol::peer_answer content, deferred_work& deferred);
   void run_deferred(deferred_work& deferred);
+  /// Refuses the calls that wait for a target process which has been leaving for a while, so that their
+  /// senders choose other targets. Requires the state's lock.
+  void withdraw_from_leaving_targets(time_point now, policy::receiver_actions& actions);
   void start_call(const policy::inbound_call_ptr& call);
   void on_target_answer(std::uint64_t key, result<answer_message, http::client_error> outcome);
   /// Checks whether the target has crashed by connecting to it. If it has, records a crash for each suspect
@@ -154,6 +157,7 @@
   node_state& state_;
   http::client_pool target_;
   time_point next_idle_check_{};
+  time_point next_departure_check_{};
   std::function<void()> crash_listener_;
 
   /// Guarded by the state's lock.
--- a/nutmegarch/policy/departure_registry.cpp
+++ b/nutmegarch/policy/departure_registry.cpp
@@ -88,6 +88,18 @@
   return is_taken ? std::optional<duration>(now - *known->at(sign)) : std::nullopt;
 }
 
+std::optional<duration> departure_registry::leaving_for(const std::string& instance, time_point now) const {
+  if (!is_leaving({instance, 0})) {
+    return std::nullopt;
+  }
+  duration longest{};
+  for (const departure_sign sign :
+       {departure_sign::published, departure_sign::answered, departure_sign::unlisted}) {
+    longest = std::max(longest, age_of(instance, sign, now).value_or(duration{}));
+  }
+  return longest;
+}
+
 const departure_registry::record* departure_registry::find(const std::string& instance) const {
   auto found = records_.find(instance);
   return found == records_.end() ? nullptr : &found->second;
--- a/nutmegarch/policy/departure_registry.h
+++ b/nutmegarch/policy/departure_registry.h
@@ -86,6 +86,8 @@
   std::int64_t newest_start(const std::string& instance) const;
   /// Time since a sign was first taken for the newest known process; nullopt when it was not.
   std::optional<duration> age_of(const std::string& instance, departure_sign sign, time_point now) const;
+  /// Time since the newest known process of the instance counts as leaving; nullopt while it does not.
+  std::optional<duration> leaving_for(const std::string& instance, time_point now) const;
   /// Number of remembered processes.
   std::size_t size() const { return records_.size(); }
   /// @}
--- a/nutmegarch/policy/receiver.cpp
+++ b/nutmegarch/policy/receiver.cpp
@@ -99,11 +99,16 @@
 }
 
 void receiver::cancel(const inbound_call_ptr& call, time_point now, receiver_actions& actions) {
+  withdraw(call, call_reason::cancelled, now, actions);
+}
+
+void receiver::withdraw(const inbound_call_ptr& call, call_reason reason, time_point now,
+                        receiver_actions& actions) {
   if (call->phase != inbound_phase::waiting) {
     return;
   }
   (call->is_long ? *long_queue_ : *short_queue_).remove(*call);
-  refuse(call, call_reason::cancelled, actions);
+  refuse(call, reason, actions);
   start_waiting_calls(now, actions);
 }
 
--- a/nutmegarch/policy/receiver.h
+++ b/nutmegarch/policy/receiver.h
@@ -96,6 +96,9 @@
   /// The caller no longer waits for the answer. Refuses the call if it waits; for a running call the adapter
   /// must still call finish().
   void cancel(const inbound_call_ptr& call, time_point now, receiver_actions& actions);
+  /// Refuses a waiting call with `reason`, for example because its target process leaves. No effect on a call
+  /// that runs.
+  void withdraw(const inbound_call_ptr& call, call_reason reason, time_point now, receiver_actions& actions);
   /// Refuses expired calls and adapts the admission level. Call it at least once per
   /// level_settings::interval.
   void on_tick(time_point now, receiver_actions& actions);
