--- a/unit_tests/platform/platform_path_test.cpp
+++ b/unit_tests/platform/platform_path_test.cpp
@@ -838,8 +838,9 @@
   const int slots = 4;
   const int running = servers[0]->runs() + slots;
   std::vector<std::thread> callers;
-  callers.reserve(2 * slots);
-  for (int i = 0; i < 2 * slots; ++i) {
+  constexpr std::size_t caller_count = 8;
+  callers.reserve(caller_count);
+  for (std::size_t i = 0; i < caller_count; ++i) {
     callers.emplace_back([this]() { send_request(0, "GET", "/look/1"); });
   }
   BOOST_CHECK(wait_for([&]() { return servers[0]->runs() >= running; }));
