Refuse late requests of a planned stop that can't end in time

Evidence: platform_path/request_that_would_not_end_before_a_stopping_node_does _is_refused_unrun on the code before: the order ran at the server (7 runs, not 6) and its connection was closed without an answer (status 0, not 503).

The condition that no call is open when the listener closes was always true (idle for at least 0 ns), and is removed.

--- a/nutmegarch/node/node.cpp
+++ b/nutmegarch/node/node.cpp
@@ -188,11 +188,12 @@
   if (!leave_requested_) {
     return;
   }
-  if (leave_started_at_ == time_point{}) {
-    leave_started_at_ = now;
+  if (!has_begun_leaving_) {
+    has_begun_leaving_ = true;
     {
       const std::lock_guard<std::mutex> lock(state_.mutex);
       state_.leaving = true;
+      state_.stop.start(now);
       state_.receiver.start_leaving();
     }
     state_.events.add(observe::event_kind::leaving, {}, state_.settings.identity.host, "");
@@ -202,12 +203,17 @@
     return;
   }
 
-  // Once the grace period is over and no call is open, senders know that the node is leaving. Stop accepting,
-  // then wait for requests on the connections that were accepted last.
-  const bool is_overdue = now - leave_started_at_ >= state_.settings.lifecycle.max_leave_time;
+  // Once the notice is over, senders know that the node is leaving. Stop accepting, then wait for requests on
+  // the connections that are open.
+  bool is_overdue = false;
+  bool is_notice_over = false;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    is_overdue = now >= state_.stop.end();
+    is_notice_over = state_.stop.is_notice_over(now);
+  }
   if (accept_stopped_at_ == time_point{}) {
-    const bool has_grace_elapsed = now - leave_started_at_ >= state_.settings.lifecycle.leave_grace;
-    if (is_overdue || (has_been_idle(now, duration{}) && has_grace_elapsed)) {
+    if (is_overdue || is_notice_over) {
       accept_stopped_at_ = now;
       callers_server_.stop();
       admin_server_.stop();
--- a/nutmegarch/node/node.h
+++ b/nutmegarch/node/node.h
@@ -78,11 +78,11 @@
 
   /// These members are used by the timer's handlers only, which never run concurrently.
   time_point last_tick_{};
-  time_point leave_started_at_{};
   time_point accept_stopped_at_{};
   time_point last_busy_{};
   std::uint64_t last_started_calls_ = 0;
   std::atomic<bool> leave_requested_{false};
+  bool has_begun_leaving_ = false;
   bool has_left_ = false;
 
   /// Guards the map below. No other lock is taken while it is held.
--- a/nutmegarch/node/node_settings.h
+++ b/nutmegarch/node/node_settings.h
@@ -72,7 +72,8 @@
   /// Minimum time between the start of a graceful stop and the closing of the listeners, so that all senders
   /// have learned that the node is leaving.
   duration leave_grace = std::chrono::milliseconds(2500);
-  /// Maximum duration of a graceful stop. Calls that still run then are aborted.
+  /// Time in which the process must have ended. Calls that still run shortly before are aborted, and requests
+  /// that would not end before are refused.
   duration max_leave_time = std::chrono::seconds(60);
   /// Time between two ticks above which the process counts as paused.
   duration pause_threshold = std::chrono::seconds(1);
--- a/nutmegarch/node/node_state.cpp
+++ b/nutmegarch/node/node_state.cpp
@@ -18,6 +18,7 @@
       suspects(own_settings.crashes.suspect_capacity),
       endpoints({own_settings.identity.host, own_settings.identity.domain, own_settings.identity.region}),
       gossip(own_settings.gossip, random),
-      view(own_settings.view) {}
+      view(own_settings.view),
+      stop({own_settings.lifecycle.leave_grace, own_settings.lifecycle.max_leave_time}) {}
 
 }  // namespace nutmegarch::node
--- a/nutmegarch/node/node_state.h
+++ b/nutmegarch/node/node_state.h
@@ -19,6 +19,7 @@
 #include "nutmegarch/policy/downstream_levels.h"
 #include "nutmegarch/policy/inner_route_detector.h"
 #include "nutmegarch/policy/rule_enforcer.h"
+#include "nutmegarch/policy/stop_schedule.h"
 #include "nutmegarch/routes/route_table.h"
 #include "nutmegarch/routes/weighted_round_robin.h"
 #include "nutmegarch/rules/rules_in_force.h"
@@ -73,6 +74,7 @@
   /// When the rules in force were accepted. Wall-clock time, for display only.
   std::chrono::system_clock::time_point rules_since;
   bool leaving = false;
+  policy::stop_schedule stop;
 
   /// Version of the routes in force; 0 if there are none. The caller holds the lock.
   std::uint64_t configuration_version() const { return routes ? routes->version() : 0; }
--- a/nutmegarch/node/outbound_path.cpp
+++ b/nutmegarch/node/outbound_path.cpp
@@ -207,7 +207,12 @@
     added.request = std::move(pending.request);
     added.answer = std::move(pending.answer);
     calls_.emplace(pending.key, std::move(added));
-    state_.sender.start(call, state_.clock.now(), actions);
+    const time_point now = state_.clock.now();
+    if (state_.stop.may_begin(call->deadline, call->context.inner, now)) {
+      state_.sender.start(call, now, actions);
+    } else {
+      state_.sender.refuse(call, call_reason::leaving, now, actions);
+    }
   }
   run_actions(actions);
 }
--- a/nutmegarch/policy/sender.cpp
+++ b/nutmegarch/policy/sender.cpp
@@ -88,6 +88,12 @@
   }
 }
 
+void sender::refuse(const outbound_call_ptr& call, call_reason reason, time_point now,
+                    sender_actions& actions) {
+  call->started = now;
+  complete(call, outcome_without_answer(*call, false), reason, 0, now, actions);
+}
+
 void sender::on_answer(const outbound_call_ptr& call, std::size_t index, const attempt_answer& answer,
                        time_point now, sender_actions& actions) {
   attempt& answered = call->attempts.at(index);
--- a/nutmegarch/policy/sender.h
+++ b/nutmegarch/policy/sender.h
@@ -65,6 +65,8 @@
   /// Starts a new call. The caller has set its context, deadline and size, and its token pool when it is the
   /// child of an inbound call.
   void start(const outbound_call_ptr& call, time_point now, sender_actions& actions);
+  /// Completes a new call that must not begin, without any attempt.
+  void refuse(const outbound_call_ptr& call, call_reason reason, time_point now, sender_actions& actions);
   /// Handles the end of the attempt at `index`: it was answered, refused or lost. A lost attempt has the
   /// outcome unknown, or not_run when nothing was written. Throws std::out_of_range when there is no such
   /// attempt.
--- /dev/null
+++ b/nutmegarch/policy/stop_schedule.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "nutmegarch/core/time.h"
+
+namespace nutmegarch::policy {
+
+/// Settings of stop_schedule. Both times count from the start of the stop.
+struct stop_settings {
+  /// In this time every request is taken: callers can't have learned yet that the node leaves.
+  duration notice = std::chrono::milliseconds(2500);
+  /// Time in which the process must have ended. Calls that are open shortly before are aborted.
+  duration limit = std::chrono::seconds(60);
+};
+
+/// Decides during a planned stop which requests of callers may still begin. One that is begun late and can't
+/// end in time would be cut off without an answer, so it is refused instead, as one that has not run. No I/O;
+/// not thread-safe.
+class stop_schedule {
+ public:
+  explicit stop_schedule(const stop_settings& settings) : settings_(settings) {}
+
+  /// Starts the stop. Further calls have no effect.
+  void start(time_point now);
+
+  bool started() const { return started_at_ != time_point{}; }
+  /// True when the time in which every request is taken is over.
+  bool is_notice_over(time_point now) const;
+  /// Time at which open calls are aborted; `never` before the stop.
+  time_point end() const;
+
+  /// True when a request that ends by `deadline` may begin. The calls that the local target makes while it
+  /// runs another one are always taken: that one has begun.
+  bool may_begin(time_point deadline, bool is_inner, time_point now) const;
+
+ private:
+  stop_settings settings_;
+  time_point started_at_{};
+};
+
+}  // namespace nutmegarch::policy
--- a/unit_tests/platform/platform_path_test.cpp
+++ b/unit_tests/platform/platform_path_test.cpp
@@ -134,6 +134,31 @@
   bool is_holding_ = false;
 };
 
+/// Sends requests one after the other, over a kept connection as far as the node keeps it.
+class caller final {
+ public:
+  explicit caller(const std::string& address) : pool_(context_, *http::parse_address(address), {}) {}
+
+  answer_message send(const request_message& request) {
+    answer_message answer;
+    bool is_answered = false;
+    pool_.send(request, wait_timeout, [&](const result<answer_message, http::client_error>& outcome) {
+      is_answered = true;
+      if (succeeded(outcome)) {
+        answer = std::get<answer_message>(outcome);
+      }
+    });
+    context_.restart();
+    while (!is_answered && context_.run_one() > 0) {
+    }
+    return answer;
+  }
+
+ private:
+  boost::asio::io_context context_;
+  http::client_pool pool_;
+};
+
 std::string ip_of(const std::string& address) { return address.substr(0, address.rfind(':')); }
 
 std::string route_json(const std::string& name, const std::string& prefix, const std::string& service,
@@ -278,6 +303,7 @@
     settings.store.first_pause = std::chrono::milliseconds(20);
     settings.store.longest_pause = std::chrono::milliseconds(100);
     settings.lifecycle.leave_grace = std::chrono::milliseconds(50);
+    settings.lifecycle.max_leave_time = longest_leave;
     settings.log.level = observe::log_level::error;
     nodes[index] =
         std::make_unique<node::node>(settings, 100 + index, index + 1, make_adapter(store_address_));
@@ -358,14 +384,23 @@
     return {servers.at(0)->runs() - before.at(0), servers.at(1)->runs() - before.at(1)};
   }
 
+  /// A caller that keeps its connection to a node.
+  caller make_caller(std::size_t index) const { return caller(ip_of(peer_addresses_.at(index)) + ":20002"); }
+
   answer_message send_request(std::size_t index, const std::string& method, const std::string& path,
                               headers fields = {}, const std::string& body = "") {
+    caller once = make_caller(index);
+    return send_request(once, method, path, std::move(fields), body);
+  }
+
+  answer_message send_request(caller& from, const std::string& method, const std::string& path,
+                              headers fields = {}, const std::string& body = "") {
     static std::atomic<int> last_id{0};
     set_header(fields, "Nutmegarch-Attempt-Id", "a" + std::to_string(++last_id));
     if (find_header(fields, "Nutmegarch-Deadline-Ms").empty()) {
       set_header(fields, "Nutmegarch-Deadline-Ms", "20000");
     }
-    return send(ip_of(peer_addresses_.at(index)) + ":20002", {method, path, fields, body, "shop.example"});
+    return from.send({method, path, fields, body, "shop.example"});
   }
 
   bool is_ready(std::size_t index) {
@@ -420,6 +455,8 @@
   std::array<std::unique_ptr<fake_server>, 2> servers = {std::make_unique<fake_server>("i-0"),
                                                          std::make_unique<fake_server>("i-1")};
   std::map<std::size_t, std::unique_ptr<node::node>> nodes;
+  /// Time that a stop of a node that is started from now on may take.
+  duration longest_leave = std::chrono::seconds(60);
 
  private:
   /// Lets the store answer watches that have waited as long as they asked.
@@ -434,16 +471,7 @@
   }
 
   static answer_message send(const std::string& address, const request_message& request) {
-    boost::asio::io_context context;
-    http::client_pool pool(context, *http::parse_address(address), {});
-    answer_message answer;
-    pool.send(request, wait_timeout, [&](const result<answer_message, http::client_error>& outcome) {
-      if (succeeded(outcome)) {
-        answer = std::get<answer_message>(outcome);
-      }
-    });
-    context.run();
-    return answer;
+    return caller(address).send(request);
   }
 
   duration gossip_interval_;
@@ -969,6 +997,62 @@
   BOOST_TEST(send_request(0, "GET", "/look/1").status == 200);
 }
 
+// Guards against requests that a stopping node takes late and cuts off at the end of its stop. Such a request
+// may be one that must not run twice, and its caller can't know whether it has run.
+BOOST_FIXTURE_TEST_CASE(request_that_would_not_end_before_a_stopping_node_does_is_refused_unrun,
+                        small_platform) {
+  nodes.erase(1);
+  longest_leave = std::chrono::seconds(4);
+  start_node(1);
+  BOOST_REQUIRE(wait_for([&]() { return is_ready(1); }));
+  BOOST_REQUIRE(wait_for([&]() { return send_request(1, "GET", "/look/ready").status == 200; }));
+  caller kept = make_caller(1);
+  BOOST_REQUIRE(send_request(kept, "GET", "/look/1").status == 200);
+  // A request that runs keeps the node from ending before its time.
+  servers[0]->set_holding(true);
+  servers[1]->set_holding(true);
+  const int runs_before = runs();
+  std::thread first([&]() { send_request(1, "GET", "/look/held"); });
+  BOOST_REQUIRE(wait_for([&]() { return runs() > runs_before; }));
+  nodes[1]->leave();
+  BOOST_REQUIRE(wait_for([&]() { return !is_ready(1); }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  const int runs_before_late = runs();
+  const answer_message late = send_request(kept, "POST", "/buy/late");
+  BOOST_TEST(late.status == 503);
+  BOOST_TEST(runs() == runs_before_late);
+  servers[0]->release();
+  servers[1]->release();
+  first.join();
+}
+
+// A request with a short timeout ends in time, so that it is served also late in the stop.
+BOOST_FIXTURE_TEST_CASE(request_that_ends_before_a_stopping_node_does_is_served, small_platform) {
+  nodes.erase(1);
+  longest_leave = std::chrono::seconds(20);
+  start_node(1);
+  BOOST_REQUIRE(wait_for([&]() { return is_ready(1); }));
+  publish(2, {route_json("look", "/look/", "shop", "idempotent"),
+              route_json("quick", "/quick/", "shop", "idempotent", 500)});
+  BOOST_REQUIRE(wait_for([&]() { return send_request(1, "GET", "/quick/1").status == 200; }));
+  caller kept = make_caller(1);
+  BOOST_REQUIRE(send_request(kept, "GET", "/quick/1").status == 200);
+  servers[0]->set_holding(true);
+  servers[1]->set_holding(true);
+  const int runs_before = runs();
+  std::thread first([&]() { send_request(1, "GET", "/look/held"); });
+  BOOST_REQUIRE(wait_for([&]() { return runs() > runs_before; }));
+  servers[0]->set_holding(false);
+  servers[1]->set_holding(false);
+  nodes[1]->leave();
+  BOOST_REQUIRE(wait_for([&]() { return !is_ready(1); }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  BOOST_TEST(send_request(kept, "GET", "/quick/2").status == 200);
+  servers[0]->release();
+  servers[1]->release();
+  first.join();
+}
+
 BOOST_FIXTURE_TEST_CASE(restarted_node_is_not_regarded_as_leaving, large_platform) {
   nodes[1]->leave();
   nodes[1]->wait();
