Detect inner routes by where their calls begin

Cause: a route counted as an inner one when half of its shortened calls had a running call with their deadline. Callers and servers draw their timeouts from 85 to 100% of the route's, so nearly every call looked shortened and few had a parent. Calls at the end of chains passed for requests of callers and were shed by level in the middle of their chains, each with a 500 through two or three services, while the entries refused nothing.

Now the node beside the called target counts at which services calls begin: callers enter at the hosts of all services, calls of an inner route begin only beside the servers that make them. Answers carry it to the senders. The two cases on timeouts go with the detector that they describe: their premise, exact timeouts, does not hold. In their place: one and two callers, the number of calls that it takes, callers that leave out hosts, no published targets, a route that is opened to callers, the lifetime at the sender, the wire.

--- a/nutmegarch/node/inbound_path.cpp
+++ b/nutmegarch/node/inbound_path.cpp
@@ -55,6 +55,11 @@
     const std::lock_guard<std::mutex> lock(state_.mutex);
     const time_point now = state_.clock.now();
     key = next_key_++;
+    if (state_.dialect) {
+      state_.inner_routes.on_call(call.context.route, call.context.caller);
+      // A caller that has just started does not know yet.
+      call.context.inner = call.context.inner || state_.inner_routes.is_inner(call.context.route);
+    }
     call_entry new_entry;
     new_entry.request = call.request;
     if (call.context.known_target_rate) {
@@ -611,6 +616,7 @@
   content.route_level = state_.downstream.lowest_downstream_level(route, state_.sender, now);
   content.has_downstream_calls = state_.dialect ? state_.downstream.has_downstream_calls(route)
                                                 : !state_.settings.identity.called_services.empty();
+  content.is_inner_route = state_.inner_routes.is_inner(route);
 }
 
 int inbound_path::count_active_targets() const {
--- a/nutmegarch/node/outbound_path.cpp
+++ b/nutmegarch/node/outbound_path.cpp
@@ -39,6 +39,7 @@
   answer.report = from.report;
   answer.route_level = from.route_level;
   answer.has_downstream_calls = from.has_downstream_calls;
+  answer.is_inner_route = from.is_inner_route;
   answer.reached_target = from.reached_target;
   answer.size = from.message.body.size() + message_overhead_bytes;
   return answer;
@@ -158,13 +159,15 @@
 
 void outbound_path::assign_parent(built_call& built, time_point now) {
   call_context& context = built.context;
+  context.inner = state_.sender.is_inner_route(context.service, context.route, now);
+  if (!context.inner) {
+    return;
+  }
   std::optional<parent_call> parent = local_->find_parent_by_deadline(built.caller_deadline);
-  state_.inner_routes.on_call(context.route, built.caller_deadline - now, parent.has_value());
-  context.inner = state_.inner_routes.is_inner(context.route);
-  if (context.inner && !parent) {
+  if (!parent) {
     parent = local_->find_likely_parent(context.service, context.route, built.caller_deadline);
   }
-  if (!parent || !context.inner) {
+  if (!parent) {
     return;
   }
   built.likely_parent_key = parent->key;
--- a/nutmegarch/node/store_synchronizer.cpp
+++ b/nutmegarch/node/store_synchronizer.cpp
@@ -387,10 +387,13 @@
     by_service[host.service].hosts.push_back(host);
     addresses.insert(host.peer_address);
   }
+  std::map<std::string, int> target_counts;
   for (const std::pair<const std::string, membership::host_list>& service : by_service) {
+    target_counts[service.first] = static_cast<int>(service.second.hosts.size());
     state_.sender.set_endpoints(
         service.first, state_.endpoints.apply(service.first, service.second, *state_.rules.table(), now));
   }
+  state_.inner_routes.set_target_counts(std::move(target_counts));
   addresses.erase(state_.settings.listen.peers);
   state_.gossip.set_peers({addresses.begin(), addresses.end()});
   set_retry_budget_share(addresses.size() + 1);
--- a/nutmegarch/policy/inner_route_detector.h
+++ b/nutmegarch/policy/inner_route_detector.h
@@ -1,36 +1,43 @@
 #pragma once
 
+#include <map>
 #include <string>
 #include <unordered_map>
 
-#include "nutmegarch/core/time.h"
-
 namespace nutmegarch::policy {
 
-/// Detects inner routes: those that the target beside this node calls while it runs other calls. In deep call
-/// chains the calls of such routes must not be shed, since the work done above them would be lost. An inner
-/// call has the deadline of its parent, unless the route's own timeout is shorter; calls with that timeout
-/// are not counted. A matching parent may be a coincidence, so the share of many calls decides. No I/O; not
-/// thread-safe.
+/// Detects inner routes: those that only targets call, while they run other calls. In deep call chains the
+/// calls of such routes must not be shed, since the work done above them would be lost.
+///
+/// The node beside the called target detects them by where calls begin. Requests of outside callers enter at
+/// the hosts of all services, in proportion to the number of hosts; calls of an inner route begin only beside
+/// targets of the services that call it. A route whose calls begin at so few services that this can't be
+/// chance is an inner one. The timeouts of calls are no sign: callers and targets choose them freely.
+/// No I/O; not thread-safe.
 class inner_route_detector {
  public:
-  /// Records a call of the route that the target sends. `timeout` is how long the target waits for the
-  /// answer; `has_parent` tells whether a running call with the same deadline was found.
-  void on_call(const std::string& route, duration timeout, bool has_parent);
+  /// Sets the number of published targets of each service.
+  void set_target_counts(std::map<std::string, int> counts);
+
+  /// Records a call of the route that began at a host of service `caller`.
+  void on_call(const std::string& route, const std::string& caller);
 
-  /// True when most calls of the route have a parent; false for a route with too few calls.
+  /// True when the route is an inner one; false for a route with too few calls.
   bool is_inner(const std::string& route) const;
 
  private:
   struct route_state {
-    /// Number of calls whose timeout was shorter than the route's own, and of those with a parent. Fractions
-    /// result from halving.
     double calls = 0;
-    double with_parent = 0;
-    /// Longest timeout seen: the route's own, which no parent's deadline has shortened.
-    duration max_timeout{};
+    /// Calls by the service at whose hosts they began. Fractions result from halving.
+    std::map<std::string, double> by_caller;
+    int calls_since_check = 0;
+    bool inner = false;
   };
 
+  bool is_concentrated(const route_state& state) const;
+
+  std::map<std::string, int> target_counts_;
+  int all_targets_ = 0;
   std::unordered_map<std::string, route_state> routes_;
 };
 
--- a/nutmegarch/policy/sender.cpp
+++ b/nutmegarch/policy/sender.cpp
@@ -181,6 +181,11 @@
   return found == services_.end() ? admit_all_level : found->second.level_of(route, now);
 }
 
+bool sender::is_inner_route(const std::string& service, const std::string& route, time_point now) const {
+  auto found = services_.find(service);
+  return found != services_.end() && found->second.is_inner_route(route, now);
+}
+
 service_state& sender::state_of(const std::string& service) {
   auto found = services_.find(service);
   if (found == services_.end()) {
--- a/nutmegarch/policy/sender.h
+++ b/nutmegarch/policy/sender.h
@@ -87,6 +87,10 @@
   /// The level at which a service admits calls of a route, according to recent answers.
   admission_level level_of(const std::string& service, const std::string& route, time_point now) const;
 
+  /// True when recent answers of the service told that only targets call the route, while they run other
+  /// calls.
+  bool is_inner_route(const std::string& service, const std::string& route, time_point now) const;
+
  private:
   struct timer {
     time_point at;
--- a/nutmegarch/policy/service_state.cpp
+++ b/nutmegarch/policy/service_state.cpp
@@ -23,6 +23,9 @@
 constexpr double default_answer_size = 1'000;
 /// Weight of one answer in the moving averages of the levels of its route.
 constexpr double level_weight = 0.2;
+/// How long a route counts as an inner one after an answer told so. A node that has just started can't tell
+/// yet, so its answers don't shorten it.
+constexpr duration inner_route_lifetime = std::chrono::seconds(10);
 /// Lower bound of the median latency in latency ratios.
 constexpr duration min_latency = std::chrono::milliseconds(1);
 
@@ -79,6 +82,9 @@
     state->downstream_cutoff += level_weight * (answer.route_level.cutoff - state->downstream_cutoff);
     state->level_expires = now + settings_.level_lifetime;
     state->has_downstream_calls = answer.has_downstream_calls;
+    if (answer.is_inner_route) {
+      state->inner_until = now + inner_route_lifetime;
+    }
   }
 }
 
@@ -155,6 +161,11 @@
   return state == nullptr || state->has_downstream_calls;
 }
 
+bool service_state::is_inner_route(const std::string& route, time_point now) const {
+  const route_state* const state = find_route(route);
+  return state != nullptr && now < state->inner_until;
+}
+
 double service_state::answer_size(const std::string& route) const {
   const route_state* const state = find_route(route);
   return state == nullptr || state->answer_size == 0 ? default_answer_size : state->answer_size;
--- a/nutmegarch/policy/service_state.h
+++ b/nutmegarch/policy/service_state.h
@@ -23,6 +23,8 @@
   admission_level route_level;
   /// Calls of this route make downstream calls, which may need retry tokens.
   bool has_downstream_calls = true;
+  /// Only targets call this route, while they run other calls.
+  bool is_inner_route = false;
   /// Size of the answer in bytes.
   std::size_t size = 0;
   /// True when the call was written to the target. A refusal by the node beside the target does not count.
@@ -74,6 +76,8 @@
   bool is_shed_downstream(const call_context& context, time_point now) const;
   /// True when calls of the route make downstream calls, or when this is unknown.
   bool has_downstream_calls(const std::string& route) const;
+  /// True when a recent answer told that only targets call the route, while they run other calls.
+  bool is_inner_route(const std::string& route, time_point now) const;
   /// Expected size of an answer of the route in bytes.
   double answer_size(const std::string& route) const;
   /// Delay after which a hedge may be sent.
@@ -97,6 +101,8 @@
     double downstream_cutoff = admit_all_level.cutoff;
     time_point level_expires{};
     bool has_downstream_calls = true;
+    /// Until then the route counts as an inner one.
+    time_point inner_until{};
   };
 
   const route_state* find_route(const std::string& route) const;
--- a/nutmegarch/protocol/codec.cpp
+++ b/nutmegarch/protocol/codec.cpp
@@ -154,6 +154,7 @@
   }
   to.setRouteLevel(from.route_level.cutoff);
   to.setCallsOn(from.has_downstream_calls);
+  to.setInnerRoute(from.is_inner_route);
   to.setTicketSequence(from.ticket ? from.ticket->sequence : 0);
   to.setRule(from.rule);
   to.setReachedTarget(from.reached_target);
@@ -177,6 +178,7 @@
                    read_rate(from.getTargetRate(), from.getTargetRateAge())};
   answer.route_level.cutoff = from.getRouteLevel();
   answer.has_downstream_calls = from.getCallsOn();
+  answer.is_inner_route = from.getInnerRoute();
   if (from.getTicketSequence() != 0) {
     answer.ticket = order_ticket{from.getIncarnation(), from.getTicketSequence()};
   }
--- a/nutmegarch/protocol/peer.capnp
+++ b/nutmegarch/protocol/peer.capnp
@@ -70,6 +70,8 @@
   targetRateAge @17 :Int64;
   # Set when the target process that the call names has announced that it leaves.
   targetLeaving @18 :Departure;
+  # Only targets call the route, while they run other calls.
+  innerRoute @19 :Bool;
 }
 
 struct Departure {
--- a/nutmegarch/protocol/peer.capnp.h
+++ b/nutmegarch/protocol/peer.capnp.h
@@ -804,6 +804,8 @@
   inline bool hasTargetLeaving() const;
   inline  ::nutmegarch::protocol::wire::Departure::Reader getTargetLeaving() const;
 
+  inline bool getInnerRoute() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -905,6 +907,9 @@
   inline void adoptTargetLeaving(::capnp::Orphan< ::nutmegarch::protocol::wire::Departure>&& value);
   inline ::capnp::Orphan< ::nutmegarch::protocol::wire::Departure> disownTargetLeaving();
 
+  inline bool getInnerRoute();
+  inline void setInnerRoute(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3123,6 +3128,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool Answer::Reader::getInnerRoute() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+
+inline bool Answer::Builder::getInnerRoute() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setInnerRoute(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::int64_t Departure::Reader::getStartedMs() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/nutmegarch/protocol/peer_messages.h
+++ b/nutmegarch/protocol/peer_messages.h
@@ -33,6 +33,8 @@
   admission_level route_level;
   /// Calls of this route make calls to other services.
   bool has_downstream_calls = true;
+  /// Only targets call this route, while they run other calls.
+  bool is_inner_route = false;
   std::optional<order_ticket> ticket;
   /// Text of the rule that refused the call, with its author and reason; empty when no rule refused it.
   std::string rule;
--- a/unit_tests/policy/inner_route_detector_test.cpp
+++ b/unit_tests/policy/inner_route_detector_test.cpp
@@ -1,10 +1,12 @@
 #include "nutmegarch/policy/inner_route_detector.h"
 
 #include <functional>
+#include <string>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
 
+#include "nutmegarch/core/random.h"
 #include "nutmegarch/policy/load_balancer.h"
 #include "nutmegarch/policy/receiver.h"
 
@@ -39,34 +41,72 @@
 
 BOOST_AUTO_TEST_SUITE(inner_calls)
 
-BOOST_AUTO_TEST_CASE(a_route_is_inner_when_most_of_its_calls_have_a_parent) {
+// Outside callers enter at the hosts of all services; the calls of an inner route begin beside targets of
+// the services that call it.
+BOOST_AUTO_TEST_CASE(a_route_is_inner_when_its_calls_begin_at_the_hosts_of_few_services) {
   inner_route_detector routes;
-  for (int i = 0; i < 100; ++i) {
-    const duration timeout = std::chrono::milliseconds(2000 - 10 * i);
-    routes.on_call("inner", timeout, i % 4 != 0);
-    routes.on_call("root", timeout, i % 8 == 0);
+  routes.set_target_counts({{"catalogue", 38}, {"orders", 27}, {"finishing", 25}, {"stockyard", 8}});
+  random_source random(1);
+  for (int i = 0; i < 60; ++i) {
+    routes.on_call("one-caller", "finishing");
+    routes.on_call("two-callers", i % 3 == 0 ? "catalogue" : "orders");
+    const std::size_t host = random.below(98);
+    routes.on_call("root", host < 38   ? "catalogue"
+                           : host < 65 ? "orders"
+                           : host < 90 ? "finishing"
+                                       : "stockyard");
   }
-  BOOST_TEST(routes.is_inner("inner"));
+  BOOST_TEST(routes.is_inner("one-caller"));
+  BOOST_TEST(routes.is_inner("two-callers"));
   BOOST_TEST(!routes.is_inner("root"));
   BOOST_TEST(!routes.is_inner("never seen"));
 }
 
-// Calls at the end of a chain have a timeout of at most 700 ms, and their parents mostly have more time left,
-// so their deadlines don't match. When such calls counted as calls without a parent, their route was taken
-// for one of callers, and they were shed in the middle of their chains.
-BOOST_AUTO_TEST_CASE(calls_with_the_routes_own_timeout_are_not_counted) {
+// A node that has just started must not shed calls in the middle of chains for long.
+BOOST_AUTO_TEST_CASE(sixteen_calls_tell_the_route_of_a_service_with_a_quarter_of_the_targets) {
   inner_route_detector routes;
-  constexpr duration route_timeout = std::chrono::milliseconds(700);
-  for (int i = 0; i < 100; ++i) {
-    const bool is_shortened = i % 10 == 0;
-    routes.on_call("inner", is_shortened ? route_timeout / 2 : route_timeout, is_shortened);
-    // Callers that retry have less time left, and match a parent only by coincidence.
-    routes.on_call("root", is_shortened ? route_timeout / 2 : route_timeout, i % 8 == 0);
+  routes.set_target_counts({{"drafts", 4}, {"claims", 4}, {"tracker", 4}, {"permits", 4}});
+  for (int i = 0; i < 16; ++i) {
+    routes.on_call("permit-fee-read", "tracker");
+  }
+  BOOST_TEST(routes.is_inner("permit-fee-read"));
+}
+
+// In this time no caller enters at the hosts of the smallest service, for example because they restart.
+BOOST_AUTO_TEST_CASE(a_route_whose_callers_leave_out_few_hosts_is_not_inner) {
+  inner_route_detector routes;
+  routes.set_target_counts({{"catalogue", 38}, {"orders", 27}, {"finishing", 25}, {"stockyard", 8}});
+  random_source random(1);
+  for (int i = 0; i < 1000; ++i) {
+    const std::size_t host = random.below(90);
+    routes.on_call("root", host < 38 ? "catalogue" : host < 65 ? "orders" : "finishing");
   }
-  BOOST_TEST(routes.is_inner("inner"));
   BOOST_TEST(!routes.is_inner("root"));
 }
 
+BOOST_AUTO_TEST_CASE(without_published_targets_no_route_is_inner) {
+  inner_route_detector routes;
+  for (int i = 0; i < 100; ++i) {
+    routes.on_call("any", "orders");
+  }
+  BOOST_TEST(!routes.is_inner("any"));
+}
+
+// The operator may open a route to callers that only targets have called.
+BOOST_AUTO_TEST_CASE(a_route_that_outside_callers_begin_to_use_is_no_longer_inner) {
+  inner_route_detector routes;
+  routes.set_target_counts({{"orders", 10}, {"finishing", 10}, {"stockyard", 10}});
+  for (int i = 0; i < 200; ++i) {
+    routes.on_call("opened", "orders");
+  }
+  BOOST_TEST(routes.is_inner("opened"));
+  const std::vector<std::string> services = {"orders", "finishing", "stockyard"};
+  for (int i = 0; i < 60; ++i) {
+    routes.on_call("opened", services.at(static_cast<std::size_t>(i) % 3));
+  }
+  BOOST_TEST(!routes.is_inner("opened"));
+}
+
 // When a downstream service is overloaded, the admission level must shed requests at the entry of the call
 // chain, and calls of chains that have begun must complete.
 BOOST_AUTO_TEST_CASE(under_overload_only_root_calls_are_shed) {
--- a/unit_tests/policy/sender_test.cpp
+++ b/unit_tests/policy/sender_test.cpp
@@ -461,6 +461,23 @@
   BOOST_TEST(tested.level_of("s", "GET /a", begin).cutoff == 70);
 }
 
+// A node that has just started answers that it can't tell yet.
+BOOST_FIXTURE_TEST_CASE(a_route_stays_inner_while_some_answers_tell_so, fixture) {
+  tested.set_endpoints("s", make_endpoints(2));
+  BOOST_TEST(!tested.is_inner_route("s", "GET /a", begin));
+  for (const bool is_inner : {true, false}) {
+    const outbound_call_ptr call = make_call(begin + std::chrono::seconds(1), true);
+    tested.start(call, begin, actions);
+    attempt_answer answer = make_answer(call_outcome::ok);
+    answer.is_inner_route = is_inner;
+    tested.on_answer(call, 0, answer, begin, actions);
+    BOOST_TEST(tested.is_inner_route("s", "GET /a", begin + std::chrono::seconds(9)));
+  }
+  BOOST_TEST(!tested.is_inner_route("s", "GET /a", begin + std::chrono::seconds(11)));
+  BOOST_TEST(!tested.is_inner_route("s", "GET /b", begin));
+  BOOST_TEST(!tested.is_inner_route("other", "GET /a", begin));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace nutmegarch::policy
--- a/unit_tests/protocol/peer_network_test.cpp
+++ b/unit_tests/protocol/peer_network_test.cpp
@@ -134,6 +134,17 @@
   BOOST_TEST(!read(written.asReader()).leaving_process_started_ms.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(answer_carries_whether_its_route_is_an_inner_one) {
+  for (const bool is_inner : {false, true}) {
+    peer_answer answer;
+    answer.is_inner_route = is_inner;
+    capnp::MallocMessageBuilder builder;
+    wire::Answer::Builder written = builder.initRoot<wire::Answer>();
+    write(answer, written);
+    BOOST_TEST(read(written.asReader()).is_inner_route == is_inner);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(target_rate_passes_between_nodes_and_is_unknown_without_one) {
   const target_rate rate{34.5, std::chrono::milliseconds(250)};
   capnp::MallocMessageBuilder builder;
