Review case 3: a change after the store's connections fell silent is in force too late

Cause: a hanging watch is given up only at its own length plus 2 s, and the other nodes learn of it by gossip after that.

--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -168,6 +168,59 @@
             writer.close()
 
 
+class Link:
+    """One connection through a proxy."""
+
+    def __init__(self):
+        self.is_silent = False
+
+
+class Proxy:
+    """Passes on what comes. Connections that are open at silence() pass nothing any more; new ones work."""
+
+    def __init__(self, address):
+        self.address = address
+        self.links = set()
+        # The event loop itself keeps no reference to a task.
+        self.tasks = set()
+
+    async def start(self, ip, port):
+        self.listener = await asyncio.start_server(self.serve, ip, port)
+
+    def silence(self):
+        """Returns the number of connections that go silent."""
+        for link in self.links:
+            link.is_silent = True
+        return len(self.links)
+
+    async def serve(self, reader, writer):
+        link = Link()
+        self.links.add(link)
+        self.tasks.add(asyncio.current_task())
+        try:
+            host, port = self.address.split(":")
+            to_reader, to_writer = await asyncio.open_connection(host, int(port))
+            await asyncio.gather(self.pump(link, reader, to_writer), self.pump(link, to_reader, writer))
+            to_writer.close()
+        except OSError:
+            pass
+        finally:
+            self.links.discard(link)
+            writer.close()
+
+    @staticmethod
+    async def pump(link, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                if not link.is_silent:
+                    writer.write(data)
+                    await writer.drain()
+        except ConnectionError:
+            pass
+        if not link.is_silent:
+            writer.close()
+
+
 class Server:
     """A sound application server: runs `slots` requests at once, queues further ones, answers with the request's id.
 
@@ -277,7 +330,7 @@
         fields = {"Service": self.service, "Ip": self.ip, "Zone": self.zone, "Region": "r", "Zones": {"a": "r", "b": "r"},
                   "AppAddr": self.ip + ":8301", "Bounds": BOUNDS,
                   "Listen": {"Outbound": self.ip + ":8304", "Control": self.ip + ":8306", "Ready": self.ip + ":8302"},
-                  "Platform": {"Address": self.deployment.store.address}, "Seeds": seeds}
+                  "Platform": {"Address": "127.77.%d.3:8309" % self.deployment.net}, "Seeds": seeds}
         with open(TEMPLATE) as template, open(self.file, "w") as file:
             file.write(render(template.read(), fields))
         self.log = open(os.path.join(self.deployment.folder, self.name + ".log"), "ab")
@@ -328,6 +381,7 @@
         self.record = Record(case_folder)
         self.net, self.lock = self.take_net()
         self.store = Store()
+        self.proxy = None
         self.servers = []
         self.nodes = [Node(self, index, service, zone) for index, (service, zone) in enumerate(machines)]
 
@@ -351,6 +405,8 @@
     async def start(self, routes):
         """`routes`: Name, Host, Prefix, Kind, Service and what else a route may have."""
         await self.store.start("127.77.%d.2" % self.net, 8309)
+        self.proxy = Proxy(self.store.address)
+        await self.proxy.start("127.77.%d.3" % self.net, 8309)
         await self.publish(routes, 7)
 
     async def publish(self, routes, version):
@@ -396,6 +452,7 @@
     async def send(self, identity, method, host, path, body=b"", deadline_ms=6000):
         if self.writer is None:
             await self.connect()
+        self.sent_at = time.monotonic()
         self.deployment.record("sent %s to %s: %s %s, %d bytes" % (identity, self.node.name, method, path, len(body)))
         self.method = method
         self.writer.write(("%s %s HTTP/1.1\r\nHost: %s\r\nNutmegarch-Attempt-Id: %s\r\nNutmegarch-Deadline-Ms: %d\r\n"
