--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -197,16 +197,24 @@
         link = Link()
         self.links.add(link)
         self.tasks.add(asyncio.current_task())
+        writers = [writer]
         try:
             host, port = self.address.split(":")
             to_reader, to_writer = await asyncio.open_connection(host, int(port))
+            writers.append(to_writer)
             await asyncio.gather(self.pump(link, reader, to_writer), self.pump(link, to_reader, writer))
-            to_writer.close()
         except OSError:
             pass
         finally:
             self.links.discard(link)
-            writer.close()
+            for used in writers:
+                used.close()
+
+    async def end(self):
+        self.listener.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
 
     @staticmethod
     async def pump(link, reader, writer):
@@ -435,6 +443,10 @@
                 node.process.kill()
             if node.process:
                 await node.process.wait()
+        if self.proxy:
+            await self.proxy.end()
+        # Lets the stand-ins notice that their connections have ended.
+        await asyncio.sleep(0.1)
         self.lock.close()
 
 
