Review: an unexpected error and a SIGTERM end a script with 2 and without processes

Cause: the harness caught the errors that it knew only, so that any other ended with Python's status 1, which says that the rule was broken; and SIGTERM ended it before it ended its nodes.

--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -500,6 +500,8 @@
     case_folder = os.path.dirname(os.path.abspath(sys.argv[0]))
 
     async def run():
+        # SIGTERM ends the processes that were started, too.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         with tempfile.TemporaryDirectory() as folder:
             deployment = None
             try:
@@ -509,7 +511,8 @@
                 result = await asyncio.wait_for(case(deployment), timeout)
                 deployment.record("the rule was broken" if result == BROKEN else "the rule held")
                 return result
-            except (CouldNotRun, OSError, asyncio.TimeoutError) as error:
+            except (Exception, asyncio.CancelledError) as error:
+                # An error that nobody expected says nothing about the rule.
                 print("could not run: %r" % error, file=sys.stderr)
                 if deployment:
                     deployment.record("could not run: %r" % error)
