--- /dev/null
+++ b/unit_tests/platform/planned_stop_test.cpp
@@ -0,0 +1,99 @@
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "unit_tests/platform/small_platform.h"
+
+namespace nutmegarch::platform_adapter {
+
+namespace {
+
+/// A platform whose node 1 can be stopped while callers use it.
+struct stopping_platform : small_platform {
+  stopping_platform() : stopping_platform(std::chrono::seconds(4)) {}
+  /// `limit` is the time that the stop of node 1 may take.
+  explicit stopping_platform(duration limit) {
+    longest_leave = limit;
+    nodes.erase(1);
+    start_node(1);
+    BOOST_REQUIRE(wait_for([&]() { return is_ready(1); }));
+    BOOST_REQUIRE(wait_for([&]() { return send_request(1, "GET", "/look/ready").status == 200; }));
+  }
+
+  void hold(bool is_holding) {
+    servers[0]->set_holding(is_holding);
+    servers[1]->set_holding(is_holding);
+  }
+  void release() {
+    servers[0]->release();
+    servers[1]->release();
+  }
+  /// Starts the stop of node 1, and returns when its time of notice is over.
+  void stop_and_wait_for_notice() {
+    nodes[1]->leave();
+    BOOST_REQUIRE(wait_for([&]() { return !is_ready(1); }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(planned_stop_path)
+
+// Guards against requests that a stopping node takes late and cuts off at the end of its stop. Such a request
+// may be one that must not run twice, and its caller can't know whether it has run.
+BOOST_FIXTURE_TEST_CASE(request_that_would_not_end_before_a_stopping_node_does_is_refused_unrun,
+                        stopping_platform) {
+  caller kept = make_caller(1);
+  BOOST_REQUIRE(send_request(kept, "GET", "/look/1").status == 200);
+  // A request that runs keeps the node from ending before its time.
+  hold(true);
+  const int runs_before = runs();
+  std::thread first([&]() { send_request(1, "GET", "/look/held"); });
+  BOOST_REQUIRE(wait_for([&]() { return runs() > runs_before; }));
+  stop_and_wait_for_notice();
+  const int runs_before_late = runs();
+  const answer_message late = send_request(kept, "POST", "/buy/late");
+  BOOST_TEST(late.status == 503);
+  BOOST_TEST(runs() == runs_before_late);
+  release();
+  first.join();
+}
+
+// A request with a short timeout ends in time, so that it is served also late in the stop.
+BOOST_FIXTURE_TEST_CASE(request_that_ends_before_a_stopping_node_does_is_served, small_platform) {
+  nodes.erase(1);
+  longest_leave = std::chrono::seconds(20);
+  start_node(1);
+  BOOST_REQUIRE(wait_for([&]() { return is_ready(1); }));
+  publish(2, {route_json("look", "/look/", "shop", "idempotent"),
+              route_json("quick", "/quick/", "shop", "idempotent", 500)});
+  BOOST_REQUIRE(wait_for([&]() { return send_request(1, "GET", "/quick/1").status == 200; }));
+  caller kept = make_caller(1);
+  BOOST_REQUIRE(send_request(kept, "GET", "/quick/1").status == 200);
+  servers[0]->set_holding(true);
+  servers[1]->set_holding(true);
+  const int runs_before = runs();
+  std::thread first([&]() { send_request(1, "GET", "/look/held"); });
+  BOOST_REQUIRE(wait_for([&]() { return runs() > runs_before; }));
+  servers[0]->set_holding(false);
+  servers[1]->set_holding(false);
+  nodes[1]->leave();
+  BOOST_REQUIRE(wait_for([&]() { return !is_ready(1); }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  BOOST_TEST(send_request(kept, "GET", "/quick/2").status == 200);
+  servers[0]->release();
+  servers[1]->release();
+  first.join();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace nutmegarch::platform_adapter
