--- a/nutmegarch/node/outbound_path.cpp
+++ b/nutmegarch/node/outbound_path.cpp
@@ -210,8 +210,11 @@
     added.request = std::move(pending.request);
     added.answer = std::move(pending.answer);
     calls_.emplace(pending.key, std::move(added));
+    const bool has_running_parent = pending.built.parent || pending.built.likely_parent_key != 0;
     const time_point now = state_.clock.now();
-    if (state_.stop.may_begin(call->deadline, call->context.inner, now)) {
+    const std::optional<time_point> admitted = state_.stop.admit(call->deadline, has_running_parent, now);
+    if (admitted) {
+      call->deadline = *admitted;
       state_.sender.start(call, now, actions);
     } else {
       state_.sender.refuse(call, call_reason::leaving, now, actions);
--- a/nutmegarch/policy/stop_schedule.h
+++ b/nutmegarch/policy/stop_schedule.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "nutmegarch/core/time.h"
 
 namespace nutmegarch::policy {
@@ -12,9 +14,9 @@
   duration limit = std::chrono::seconds(60);
 };
 
-/// Decides during a planned stop which requests of callers may still begin. One that is begun late and can't
-/// end in time would be cut off without an answer, so it is refused instead, as one that has not run. No I/O;
-/// not thread-safe.
+/// Decides during a planned stop which requests may still begin, and with which deadline. One that is begun
+/// late and can't end in time would be cut off without an answer, so it is refused instead, as one that has
+/// not run. No I/O; not thread-safe.
 class stop_schedule {
  public:
   explicit stop_schedule(const stop_settings& settings) : settings_(settings) {}
@@ -25,12 +27,16 @@
   bool started() const { return started_at_ != time_point{}; }
   /// True when the time in which every request is taken is over.
   bool is_notice_over(time_point now) const;
+  /// Time until which answers are sure to be delivered; `never` before the stop.
+  time_point answers_due() const;
   /// Time at which open calls are aborted; `never` before the stop.
   time_point end() const;
 
-  /// True when a request that ends by `deadline` may begin. The calls that the local target makes while it
-  /// runs another one are always taken: that one has begun.
-  bool may_begin(time_point deadline, bool is_inner, time_point now) const;
+  /// The deadline with which a request may begin that expires at `deadline`; nullopt when it must be refused.
+  /// `has_running_parent`: the local target makes the call for a call that it is running. Such a call is
+  /// taken also when it is late, since the work on its parent would be lost otherwise, but it must end in
+  /// time: the answer to the parent can't be delivered later.
+  std::optional<time_point> admit(time_point deadline, bool has_running_parent, time_point now) const;
 
  private:
   stop_settings settings_;
--- a/unit_tests/platform/planned_stop_test.cpp
+++ b/unit_tests/platform/planned_stop_test.cpp
@@ -43,6 +43,24 @@
   }
 };
 
+/// Further hosts of another service. Requests that all begin at hosts of the shop then look like calls that
+/// only its servers make.
+struct stopping_platform_with_inner_looking_route : stopping_platform {
+  stopping_platform_with_inner_looking_route() {
+    for (int i = 0; i < 3; ++i) {
+      store.put("servers/far-" + std::to_string(i),
+                R"({"Service": "far", "Address": ")" + ip_of(free_address()) +
+                    R"(:20001", "Zone": "z", "Version": "v1", "Slots": 4, "State": "ready", )" +
+                    R"("ColdRemainingMs": 0, "Sequence": 1, "born": 1000})");
+    }
+    wait_until_applied({0, 1});
+    constexpr int usual_requests = 40;
+    for (int i = 0; i < usual_requests; ++i) {
+      BOOST_REQUIRE(send_request(static_cast<std::size_t>(i % 2), "POST", "/buy/usual").status == 200);
+    }
+  }
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(planned_stop_path)
@@ -67,6 +85,25 @@
   first.join();
 }
 
+// Guards against late orders that a stopping node passes on and cuts off, because it takes them for calls of
+// its own server: their route looks like one that only servers call, but the server runs nothing.
+BOOST_FIXTURE_TEST_CASE(late_order_on_a_route_that_looks_inner_is_refused_unrun,
+                        stopping_platform_with_inner_looking_route) {
+  caller kept = make_caller(1);
+  BOOST_REQUIRE(send_request(kept, "GET", "/look/1").status == 200);
+  hold(true);
+  const int runs_before = runs();
+  std::thread first([&]() { send_request(1, "GET", "/look/held"); });
+  BOOST_REQUIRE(wait_for([&]() { return runs() > runs_before; }));
+  stop_and_wait_for_notice();
+  const int runs_before_late = runs();
+  const answer_message late = send_request(kept, "POST", "/buy/late");
+  BOOST_TEST(late.status == 503);
+  BOOST_TEST(runs() == runs_before_late);
+  release();
+  first.join();
+}
+
 // A request with a short timeout ends in time, so that it is served also late in the stop.
 BOOST_FIXTURE_TEST_CASE(request_that_ends_before_a_stopping_node_does_is_served, small_platform) {
   nodes.erase(1);
--- a/unit_tests/policy/stop_schedule_test.cpp
+++ b/unit_tests/policy/stop_schedule_test.cpp
@@ -1,5 +1,7 @@
 #include "nutmegarch/policy/stop_schedule.h"
 
+#include <optional>
+
 #include <boost/test/unit_test.hpp>
 
 #include "nutmegarch/core/random.h"
@@ -20,20 +22,31 @@
 
 BOOST_AUTO_TEST_CASE(every_request_may_begin_before_the_stop_and_in_the_time_of_notice) {
   stop_schedule tested(six_seconds);
-  BOOST_TEST(tested.may_begin(begin + seconds(60), false, begin));
-  BOOST_TEST(tested.may_begin(never, false, begin));
+  BOOST_TEST((tested.admit(begin + seconds(60), false, begin) == begin + seconds(60)));
+  BOOST_TEST((tested.admit(never, false, begin) == never));
   tested.start(begin);
-  BOOST_TEST(tested.may_begin(begin + seconds(60), false, begin + milliseconds(2499)));
+  BOOST_TEST((tested.admit(begin + seconds(60), false, begin + milliseconds(2499)) == begin + seconds(60)));
 }
 
 BOOST_AUTO_TEST_CASE(only_requests_that_end_in_time_begin_later) {
   stop_schedule tested(six_seconds);
   tested.start(begin);
   const time_point late = begin + seconds(4);
-  BOOST_TEST(tested.may_begin(late + seconds(1), false, late));
-  BOOST_TEST(!tested.may_begin(late + seconds(2), false, late));
-  BOOST_TEST(!tested.may_begin(never, false, late));
-  BOOST_TEST(tested.may_begin(late + seconds(2), true, late));
+  BOOST_TEST((tested.admit(late + seconds(1), false, late) == late + seconds(1)));
+  BOOST_TEST(!tested.admit(late + seconds(2), false, late));
+  BOOST_TEST(!tested.admit(never, false, late));
+}
+
+// Guards against calls of the local target that are begun late and cut off.
+BOOST_AUTO_TEST_CASE(late_calls_of_a_running_call_begin_with_a_deadline_in_time) {
+  stop_schedule tested(six_seconds);
+  tested.start(begin);
+  const time_point late = begin + seconds(4);
+  BOOST_TEST((tested.admit(late + milliseconds(500), true, late) == late + milliseconds(500)));
+  BOOST_TEST((tested.admit(late + seconds(2), true, late) == tested.answers_due()));
+  BOOST_TEST((tested.admit(never, true, late) == tested.answers_due()));
+  BOOST_TEST(!tested.admit(never, true, tested.answers_due()));
+  BOOST_TEST((tested.answers_due() < tested.end()));
 }
 
 BOOST_AUTO_TEST_CASE(a_second_signal_does_not_prolong_the_stop) {
@@ -55,11 +68,13 @@
   int cut_off = 0;
   for (time_point now = begin + six_seconds.notice; now < begin + six_seconds.limit; now += milliseconds(5)) {
     const duration timeout = milliseconds(100 + static_cast<int>(random.below(5000)));
-    if (!tested.may_begin(now + timeout, false, now)) {
+    const bool has_running_parent = random.below(4) == 0;
+    const std::optional<time_point> deadline = tested.admit(now + timeout, has_running_parent, now);
+    if (!deadline) {
       ++refused;
       continue;
     }
-    cut_off += now + timeout > tested.end() ? 1 : 0;
+    cut_off += *deadline > tested.answers_due() ? 1 : 0;
   }
   BOOST_TEST(cut_off == 0);
   BOOST_TEST(refused > 0);
