--- a/nutmegarch/core/call.h
+++ b/nutmegarch/core/call.h
@@ -119,6 +119,9 @@
   std::uint16_t retry_tokens = 0;
   /// Time left until the caller's deadline when the message is written.
   duration remaining{};
+  /// Time for which the sender can still take an answer, since it stops afterwards; duration::max() without
+  /// such a limit. A call that can't end within it must not start.
+  duration answer_within = duration::max();
   /// Hash of the request's content; identifies requests that crash their targets.
   std::uint64_t fingerprint = 0;
   /// Ticket of an order; not set when it has none.
--- a/nutmegarch/node/inbound_path.cpp
+++ b/nutmegarch/node/inbound_path.cpp
@@ -83,6 +83,9 @@
       new_entry.call->arrived = now;
       new_entry.call->deadline =
           call.context.remaining >= state_.settings.calls.max_timeout ? never : now + call.context.remaining;
+      if (call.context.answer_within < state_.settings.calls.max_timeout) {
+        new_entry.call->answer_due = now + call.context.answer_within;
+      }
       new_entry.token_pool =
           policy::retry_token_pool_ptr(new policy::retry_token_pool(call.context.retry_tokens));
       new_entry.answer = std::move(answer);
@@ -126,6 +129,25 @@
   }
 }
 
+void inbound_path::limit_answers(const std::vector<request_id>& calls, duration within) {
+  deferred_work deferred;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    const time_point now = state_.clock.now();
+    const time_point due = now + std::clamp(within, duration{}, state_.settings.calls.max_timeout);
+    policy::receiver_actions actions;
+    for (const request_id& id : calls) {
+      auto key = key_by_request_.find(hash_of(id));
+      auto found = key == key_by_request_.end() ? calls_.end() : calls_.find(key->second);
+      if (found != calls_.end()) {
+        state_.receiver.limit_answer(found->second.call, due, now, actions);
+      }
+    }
+    apply_actions(actions, deferred);
+  }
+  run_deferred(deferred);
+}
+
 protocol::peer_answer inbound_path::issue_ticket(const protocol::peer_call& call) {
   const std::lock_guard<std::mutex> lock(state_.mutex);
   const time_point now = state_.clock.now();
--- a/nutmegarch/node/inbound_path.h
+++ b/nutmegarch/node/inbound_path.h
@@ -46,6 +46,9 @@
   std::uint64_t offer(protocol::peer_call call, answer_callback answer);
   /// Cancels a call for whose answer nobody waits any more. No effect when the call has ended.
   void cancel(std::uint64_t key);
+  /// The node that sent `calls` stops, and takes their answers only for the time `within`. Those that wait
+  /// and can't end in time are refused. Unknown ids are ignored.
+  void limit_answers(const std::vector<request_id>& calls, duration within);
   /// Issues a ticket for an order that is to run at this node. The answer holds the ticket, or the reason for
   /// which none was issued.
   protocol::peer_answer issue_ticket(const protocol::peer_call& call);
--- a/nutmegarch/node/node.cpp
+++ b/nutmegarch/node/node.cpp
@@ -118,6 +118,10 @@
   peers_.answer(exchange, inbound_->issue_ticket(call));
 }
 
+void node::on_answer_limit(const std::vector<request_id>& calls, duration within) {
+  inbound_->limit_answers(calls, within);
+}
+
 protocol::peer_exchange node::on_exchange(protocol::peer_exchange offer) {
   return control_->on_exchange(offer);
 }
@@ -194,7 +198,7 @@
       const std::lock_guard<std::mutex> lock(state_.mutex);
       state_.leaving = true;
       state_.stop.start(now);
-      state_.receiver.start_leaving();
+      state_.receiver.start_leaving(state_.stop.answers_due());
     }
     state_.events.add(observe::event_kind::leaving, {}, state_.settings.identity.host, "");
     observe::log_event(observe::log_level::info, "leaving", {{"host", state_.settings.identity.host}});
--- a/nutmegarch/node/node.h
+++ b/nutmegarch/node/node.h
@@ -44,6 +44,7 @@
   void on_call(std::uint64_t exchange, protocol::peer_call call) override;
   void on_cancel(std::uint64_t exchange) override;
   void on_ticket_request(std::uint64_t exchange, protocol::peer_call call) override;
+  void on_answer_limit(const std::vector<request_id>& calls, duration within) override;
   protocol::peer_exchange on_exchange(protocol::peer_exchange offer) override;
 
  private:
--- a/nutmegarch/node/outbound_path.cpp
+++ b/nutmegarch/node/outbound_path.cpp
@@ -1,7 +1,9 @@
 #include "nutmegarch/node/outbound_path.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
+#include <vector>
 
 #include "nutmegarch/core/hash.h"
 #include "nutmegarch/http/problem.h"
@@ -114,6 +116,31 @@
     state_.sender.on_tick(state_.clock.now(), actions);
   }
   run_actions(actions);
+  limit_earlier_attempts();
+}
+
+void outbound_path::limit_earlier_attempts() {
+  std::map<std::string, std::vector<request_id>> calls_by_peer;
+  duration within{};
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    if (!state_.stop.started()) {
+      return;
+    }
+    within = state_.stop.answers_due() - state_.clock.now();
+    for (std::pair<const std::uint64_t, open_call>& entry : calls_) {
+      const policy::outbound_call& call = *entry.second.call;
+      for (std::pair<const std::size_t, attempt_handle>& handle : entry.second.handles) {
+        if (!handle.second.knows_answer_limit && !handle.second.is_local) {
+          calls_by_peer[call.attempts.at(handle.first).to->address].push_back(call.context.id);
+        }
+        handle.second.knows_answer_limit = true;
+      }
+    }
+  }
+  for (std::pair<const std::string, std::vector<request_id>>& entry : calls_by_peer) {
+    peers_.limit_answers(entry.first, std::move(entry.second), within);
+  }
 }
 
 bool outbound_path::is_idle() const {
@@ -305,6 +332,7 @@
 void outbound_path::send(const policy::sender_action& action) {
   policy::attempt sent_attempt;
   protocol::peer_call call;
+  attempt_handle handle;
   call.context = action.context;
   call.stamp = state_.stamps.next();
   {
@@ -314,6 +342,10 @@
       return;
     }
     call.request = found->second.request;
+    if (state_.stop.started()) {
+      call.context.answer_within = std::max(duration{}, state_.stop.answers_due() - state_.clock.now());
+      handle.knows_answer_limit = true;
+    }
     sent_attempt = action.call->attempts.at(action.attempt);
     if (action.attempt > 0) {
       state_.events.add(
@@ -324,7 +356,6 @@
 
   const std::uint64_t key = action.call->key;
   const std::size_t attempt = action.attempt;
-  attempt_handle handle;
   handle.is_local = sent_attempt.to->distance == policy::proximity::same_host;
   if (handle.is_local) {
     handle.exchange_id = local_->offer(
--- a/nutmegarch/node/outbound_path.h
+++ b/nutmegarch/node/outbound_path.h
@@ -40,6 +40,8 @@
     /// Key at the inbound path when the attempt is local, otherwise the peer network's number of the call.
     std::uint64_t exchange_id = 0;
     bool is_local = false;
+    /// The node at which the attempt is knows until when this node can take the answer.
+    bool knows_answer_limit = false;
   };
 
   struct open_call {
@@ -75,6 +77,9 @@
   void fetch_ticket(pending_call pending);
   /// `issuer` is the host that the ticket was requested from.
   void on_ticket(pending_call pending, const std::string& issuer, const protocol::peer_answer& ticket_answer);
+  /// In a planned stop, tells the peers that hold attempts made before the stop until when this node can take
+  /// their answers.
+  void limit_earlier_attempts();
   void run_actions(const policy::sender_actions& actions);
   void send(const policy::sender_action& action);
   void abandon(const policy::sender_action& action);
--- a/nutmegarch/policy/inbound_call.h
+++ b/nutmegarch/policy/inbound_call.h
@@ -32,6 +32,8 @@
   time_point arrived{};
   /// Time after which the caller no longer waits for the answer.
   time_point deadline = never;
+  /// Time after which the caller's node can't take the answer any more, since it stops.
+  time_point answer_due = never;
   time_point started{};
   /// Order of the call among waiting ones, see queue_priority_of().
   int queue_priority = queue_priority_count - 1;
--- a/nutmegarch/policy/receiver.cpp
+++ b/nutmegarch/policy/receiver.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <functional>
 #include <limits>
 
 namespace nutmegarch::policy {
@@ -112,14 +113,39 @@
   start_waiting_calls(now, actions);
 }
 
+void receiver::start_leaving(time_point answers_due) {
+  leaving_ = true;
+  answers_due_ = answers_due;
+}
+
+void receiver::limit_answer(const inbound_call_ptr& call, time_point due, time_point now,
+                            receiver_actions& actions) {
+  call->answer_due = std::min(call->answer_due, due);
+  if (is_answer_too_late(*call, now)) {
+    withdraw(call, call_reason::leaving, now, actions);
+  }
+}
+
 void receiver::on_tick(time_point now, receiver_actions& actions) {
-  // Refuse calls whose deadline has passed.
+  // Refuse calls whose deadline has passed, and those whose answer could not be delivered.
   std::vector<inbound_call_ptr> expired;
-  short_queue_->take_expired(now, expired);
-  long_queue_->take_expired(now, expired);
+  std::vector<inbound_call_ptr> undeliverable;
+  const std::function<bool(const inbound_call&)> is_expired = [now](const inbound_call& call) {
+    return call.deadline < now;
+  };
+  const std::function<bool(const inbound_call&)> is_undeliverable = [this, now](const inbound_call& call) {
+    return is_answer_too_late(call, now);
+  };
+  for (wait_queue* const queue : {short_queue_.get(), long_queue_.get()}) {
+    queue->take_if(is_expired, expired);
+    queue->take_if(is_undeliverable, undeliverable);
+  }
   for (const inbound_call_ptr& call : expired) {
     refuse(call, call_reason::deadline, actions);
   }
+  for (const inbound_call_ptr& call : undeliverable) {
+    refuse(call, call_reason::leaving, actions);
+  }
 
   trim_queues(actions);
 
@@ -175,8 +201,9 @@
   const duration wait =
       from_seconds(to_seconds(all_service_times_.mean()) * ahead / std::max(1, limit_->value()));
   const duration service = service_time(call.context.route, settings_.finish_quantile);
-  if (call.deadline != never && now + wait + service > call.deadline) {
-    return call_reason::deadline;
+  const call_reason by_end = reason_against_end(call, now + wait + service);
+  if (by_end != call_reason::none) {
+    return by_end;
   }
   const duration rate_wait = rate_limiter_.time_for(ahead + 1, now);
   if (call.deadline != never && now + rate_wait + service > call.deadline) {
@@ -185,6 +212,18 @@
   return call_reason::none;
 }
 
+call_reason receiver::reason_against_end(const inbound_call& call, time_point end) const {
+  if (end > call.deadline) {
+    return call_reason::deadline;
+  }
+  return end > std::min(call.answer_due, answers_due_) ? call_reason::leaving : call_reason::none;
+}
+
+bool receiver::is_answer_too_late(const inbound_call& call, time_point now) const {
+  const time_point due = std::min(call.answer_due, answers_due_);
+  return due != never && now + service_time(call.context.route, settings_.finish_quantile) > due;
+}
+
 bool receiver::make_queue_space(const inbound_call& call, receiver_actions& actions) {
   if (waiting() < queue_capacity()) {
     return true;
@@ -252,8 +291,9 @@
     }
     const inbound_call_ptr call = queue->pop();
     const duration service = service_time(call->context.route, settings_.finish_quantile);
-    if (call->deadline != never && now + service > call->deadline) {
-      refuse(call, call_reason::deadline, actions);
+    const call_reason by_end = reason_against_end(*call, now + service);
+    if (by_end != call_reason::none) {
+      refuse(call, by_end, actions);
       continue;
     }
     start(call, now, actions);
--- a/nutmegarch/policy/receiver.h
+++ b/nutmegarch/policy/receiver.h
@@ -104,8 +104,12 @@
   void on_tick(time_point now, receiver_actions& actions);
   /// The published number of slots has changed. Restarts the concurrency limit at `slots`.
   void set_slots(int slots);
-  /// From now on new calls are refused with call_reason::leaving. Waiting calls still run.
-  void start_leaving() { leaving_ = true; }
+  /// From now on new calls are refused with call_reason::leaving, and so are waiting ones as soon as they
+  /// can't end by `answers_due`: later their answers could not be delivered.
+  void start_leaving(time_point answers_due);
+  /// The caller's node stops, and takes the answer to the call until `due` only. The call is refused with
+  /// call_reason::leaving if it waits and can't end by then. No effect on a call that runs.
+  void limit_answer(const inbound_call_ptr& call, time_point due, time_point now, receiver_actions& actions);
   /// @}
 
   /// @name State
@@ -129,6 +133,12 @@
 
  private:
   call_reason reason_to_refuse(const inbound_call& call, time_point now);
+  /// Why a call that ends at `end` must not start: its deadline, or a stop of its caller's node or of this
+  /// one.
+  call_reason reason_against_end(const inbound_call& call, time_point end) const;
+  /// True when the caller's node or this one stops before the answer to a call that starts now could be
+  /// delivered.
+  bool is_answer_too_late(const inbound_call& call, time_point now) const;
   bool make_queue_space(const inbound_call& call, receiver_actions& actions);
   void start(const inbound_call_ptr& call, time_point now, receiver_actions& actions);
   void start_waiting_calls(time_point now, receiver_actions& actions);
@@ -157,6 +167,8 @@
   int running_ = 0;
   int running_long_ = 0;
   bool leaving_ = false;
+  /// Time after which this node delivers no more answers, since it stops.
+  time_point answers_due_ = never;
 };
 
 }  // namespace nutmegarch::policy
--- a/nutmegarch/policy/wait_queue.cpp
+++ b/nutmegarch/policy/wait_queue.cpp
@@ -61,13 +61,14 @@
   take(lists_.at(static_cast<std::size_t>(call.queue_priority)), call);
 }
 
-void wait_queue::take_expired(time_point moment, std::vector<inbound_call_ptr>& expired) {
+void wait_queue::take_if(const std::function<bool(const inbound_call&)>& condition,
+                         std::vector<inbound_call_ptr>& taken) {
   for (call_list& list : lists_) {
     for (auto it = list.begin(); it != list.end();) {
       inbound_call& call = *it;
       ++it;
-      if (call.deadline < moment) {
-        expired.push_back(take(list, call));
+      if (condition(call)) {
+        taken.push_back(take(list, call));
       }
     }
   }
--- a/nutmegarch/policy/wait_queue.h
+++ b/nutmegarch/policy/wait_queue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -35,8 +36,9 @@
   /// Removes a call, which must be in this queue.
   void remove(inbound_call& call);
 
-  /// Moves every call whose deadline is before `moment` to the end of `expired`.
-  void take_expired(time_point moment, std::vector<inbound_call_ptr>& expired);
+  /// Moves every call that meets `condition` to the end of `taken`.
+  void take_if(const std::function<bool(const inbound_call&)>& condition,
+               std::vector<inbound_call_ptr>& taken);
 
   /// Sets whether the node is overloaded: its number of waiting calls is at the threshold of a standing
   /// queue.
--- a/nutmegarch/protocol/codec.cpp
+++ b/nutmegarch/protocol/codec.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Value of CallContext.answerWithin for duration::max().
+constexpr std::int64_t no_answer_limit = 0;
+
 std::string to_text(capnp::Text::Reader from) { return {from.cStr(), from.size()}; }
 
 std::string to_bytes(capnp::Data::Reader from) {
@@ -73,6 +76,9 @@
   to.setIdempotent(from.idempotent);
   to.setRetryTokens(from.retry_tokens);
   to.setRemaining(from.remaining.count());
+  to.setAnswerWithin(from.answer_within == duration::max()
+                         ? no_answer_limit
+                         : std::max<std::int64_t>(1, from.answer_within.count()));
   to.setFingerprint(from.fingerprint);
   to.setStamp(stamp);
   to.setAttemptId(from.attempt_id);
@@ -113,6 +119,8 @@
   to.idempotent = from.getIdempotent();
   to.retry_tokens = from.getRetryTokens();
   to.remaining = std::max(duration{}, duration(from.getRemaining()));
+  to.answer_within =
+      from.getAnswerWithin() > no_answer_limit ? duration(from.getAnswerWithin()) : duration::max();
   to.fingerprint = from.getFingerprint();
   if (from.getTicketSequence() != 0) {
     to.ticket = order_ticket{from.getTicketIncarnation(), from.getTicketSequence()};
--- a/nutmegarch/protocol/peer.capnp
+++ b/nutmegarch/protocol/peer.capnp
@@ -32,6 +32,13 @@
   # named it. 0: not known.
   targetRate @20 :Float64;
   targetRateAge @21 :Int64;
+  # Time for which the sender can still take the answer, since it stops afterwards. 0: no limit.
+  answerWithin @22 :Int64;
+}
+
+struct CallId {
+  high @0 :UInt64;
+  low @1 :UInt64;
 }
 
 struct Header {
@@ -118,4 +125,7 @@
   exchange @2 (offer :Exchange) -> (reply :Exchange);
   # Checks that the connection carries messages in both directions.
   ping @3 ();
+  # The sender stops, and takes the answers to its earlier calls for this long only. Those of them that wait and
+  # can't end in time are refused.
+  limitAnswers @4 (calls :List(CallId), within :Int64);
 }
--- a/nutmegarch/protocol/peer.capnp.h
+++ b/nutmegarch/protocol/peer.capnp.h
@@ -20,6 +20,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(f9509f592e8d67d5);
+CAPNP_DECLARE_SCHEMA(a1e9379853491a40);
 CAPNP_DECLARE_SCHEMA(fc76acbf35f157dd);
 CAPNP_DECLARE_SCHEMA(96763fd35775f1a2);
 CAPNP_DECLARE_SCHEMA(e99de4fcf75f38e6);
@@ -37,6 +38,8 @@
 CAPNP_DECLARE_SCHEMA(e80ee0eae34aba48);
 CAPNP_DECLARE_SCHEMA(dfcd8d8b1d6c1820);
 CAPNP_DECLARE_SCHEMA(81f1ad2c1c5f3fb4);
+CAPNP_DECLARE_SCHEMA(e15c67dd64d482fe);
+CAPNP_DECLARE_SCHEMA(9dd82374a9e39149);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -53,7 +56,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f9509f592e8d67d5, 10, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(f9509f592e8d67d5, 11, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CallId {
+  CallId() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a1e9379853491a40, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -196,6 +214,8 @@
   struct ExchangeResults;
   struct PingParams;
   struct PingResults;
+  struct LimitAnswersParams;
+  struct LimitAnswersResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -325,6 +345,36 @@
   };
 };
 
+struct Peer::LimitAnswersParams {
+  LimitAnswersParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e15c67dd64d482fe, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::LimitAnswersResults {
+  LimitAnswersResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9dd82374a9e39149, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class CallContext::Reader {
@@ -393,6 +443,8 @@
 
   inline  ::int64_t getTargetRateAge() const;
 
+  inline  ::int64_t getAnswerWithin() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -507,6 +559,9 @@
   inline  ::int64_t getTargetRateAge();
   inline void setTargetRateAge( ::int64_t value);
 
+  inline  ::int64_t getAnswerWithin();
+  inline void setAnswerWithin( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -533,6 +588,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class CallId::Reader {
+public:
+  typedef CallId Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHigh() const;
+
+  inline  ::uint64_t getLow() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CallId::Builder {
+public:
+  typedef CallId Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHigh();
+  inline void setHigh( ::uint64_t value);
+
+  inline  ::uint64_t getLow();
+  inline void setLow( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CallId::Pipeline {
+public:
+  typedef CallId Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Header::Reader {
 public:
   typedef Header Reads;
@@ -1440,6 +1576,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::nutmegarch::protocol::wire::Peer::PingParams,  ::nutmegarch::protocol::wire::Peer::PingResults> pingRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::nutmegarch::protocol::wire::Peer::LimitAnswersParams,  ::nutmegarch::protocol::wire::Peer::LimitAnswersResults> limitAnswersRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1472,6 +1610,10 @@
   typedef  ::nutmegarch::protocol::wire::Peer::PingResults PingResults;
   typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
   virtual ::kj::Promise<void> ping(PingContext context);
+  typedef  ::nutmegarch::protocol::wire::Peer::LimitAnswersParams LimitAnswersParams;
+  typedef  ::nutmegarch::protocol::wire::Peer::LimitAnswersResults LimitAnswersResults;
+  typedef ::capnp::CallContext<LimitAnswersParams, LimitAnswersResults> LimitAnswersContext;
+  virtual ::kj::Promise<void> limitAnswers(LimitAnswersContext context);
 
   inline  ::nutmegarch::protocol::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2129,6 +2271,163 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::LimitAnswersParams::Reader {
+public:
+  typedef LimitAnswersParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCalls() const;
+  inline  ::capnp::List< ::nutmegarch::protocol::wire::CallId,  ::capnp::Kind::STRUCT>::Reader getCalls() const;
+
+  inline  ::int64_t getWithin() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::LimitAnswersParams::Builder {
+public:
+  typedef LimitAnswersParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCalls();
+  inline  ::capnp::List< ::nutmegarch::protocol::wire::CallId,  ::capnp::Kind::STRUCT>::Builder getCalls();
+  inline void setCalls( ::capnp::List< ::nutmegarch::protocol::wire::CallId,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::nutmegarch::protocol::wire::CallId,  ::capnp::Kind::STRUCT>::Builder initCalls(unsigned int size);
+  inline void adoptCalls(::capnp::Orphan< ::capnp::List< ::nutmegarch::protocol::wire::CallId,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::nutmegarch::protocol::wire::CallId,  ::capnp::Kind::STRUCT>> disownCalls();
+
+  inline  ::int64_t getWithin();
+  inline void setWithin( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::LimitAnswersParams::Pipeline {
+public:
+  typedef LimitAnswersParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::LimitAnswersResults::Reader {
+public:
+  typedef LimitAnswersResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::LimitAnswersResults::Builder {
+public:
+  typedef LimitAnswersResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::LimitAnswersResults::Pipeline {
+public:
+  typedef LimitAnswersResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::uint64_t CallContext::Reader::getIdHigh() const {
@@ -2539,6 +2838,48 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t CallContext::Reader::getAnswerWithin() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CallContext::Builder::getAnswerWithin() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void CallContext::Builder::setAnswerWithin( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CallId::Reader::getHigh() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CallId::Builder::getHigh() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CallId::Builder::setHigh( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CallId::Reader::getLow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CallId::Builder::getLow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CallId::Builder::setLow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3822,6 +4163,54 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::LimitAnswersParams::Reader::hasCalls() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::LimitAnswersParams::Builder::hasCalls() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::nutmegarch::protocol::wire::CallId,  ::capnp::Kind::STRUCT>::Reader Peer::LimitAnswersParams::Reader::getCalls() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegarch::protocol::wire::CallId,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::nutmegarch::protocol::wire::CallId,  ::capnp::Kind::STRUCT>::Builder Peer::LimitAnswersParams::Builder::getCalls() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegarch::protocol::wire::CallId,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::LimitAnswersParams::Builder::setCalls( ::capnp::List< ::nutmegarch::protocol::wire::CallId,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegarch::protocol::wire::CallId,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::nutmegarch::protocol::wire::CallId,  ::capnp::Kind::STRUCT>::Builder Peer::LimitAnswersParams::Builder::initCalls(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegarch::protocol::wire::CallId,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::LimitAnswersParams::Builder::adoptCalls(
+    ::capnp::Orphan< ::capnp::List< ::nutmegarch::protocol::wire::CallId,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegarch::protocol::wire::CallId,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::nutmegarch::protocol::wire::CallId,  ::capnp::Kind::STRUCT>> Peer::LimitAnswersParams::Builder::disownCalls() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegarch::protocol::wire::CallId,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t Peer::LimitAnswersParams::Reader::getWithin() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Peer::LimitAnswersParams::Builder::getWithin() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::LimitAnswersParams::Builder::setWithin( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/nutmegarch/protocol/peer_network.cpp
+++ b/nutmegarch/protocol/peer_network.cpp
@@ -143,6 +143,27 @@
     });
   }
 
+  void limit_answers(const std::string& address, const std::vector<request_id>& calls, duration within) {
+    // Without the connection that the calls went over they are lost, and there is nothing to tell.
+    auto found = connections_.find(address);
+    if (found == connections_.end()) {
+      return;
+    }
+    kj::Own<peer_connection> connection = kj::addRef(*found->second);
+    kj::Promise<void> sent = connection->ready.addBranch().then([&connection = *connection, calls, within]() {
+      auto request = KJ_ASSERT_NONNULL(connection.peer).limitAnswersRequest();
+      capnp::List<wire::CallId>::Builder ids = request.initCalls(static_cast<unsigned>(calls.size()));
+      for (std::size_t i = 0; i < calls.size(); ++i) {
+        ids[static_cast<unsigned>(i)].setHigh(calls.at(i).high);
+        ids[static_cast<unsigned>(i)].setLow(calls.at(i).low);
+      }
+      request.setWithin(within.count());
+      return request.send().ignoreResult();
+    });
+    // A peer of an earlier version does not know the message, and keeps the calls.
+    tasks_->add(sent.exclusiveJoin(connection->broken.addBranch()).attach(kj::mv(connection)));
+  }
+
   void cancel(std::uint64_t request_id) { outgoing_requests_.erase(request_id); }
 
   void drop_connections() {
@@ -492,6 +513,15 @@
 
   kj::Promise<void> ping(PingContext) override { return kj::READY_NOW; }
 
+  kj::Promise<void> limitAnswers(LimitAnswersContext context) override {
+    std::vector<request_id> calls;
+    for (const wire::CallId::Reader id : context.getParams().getCalls()) {
+      calls.push_back({id.getHigh(), id.getLow()});
+    }
+    owner_.service_->on_answer_limit(calls, duration(context.getParams().getWithin()));
+    return kj::READY_NOW;
+  }
+
  private:
   /// Calls `begin` with a new exchange id, and `finish` with the answer to it. Reports an exchange that ends
   /// without an answer as cancelled.
@@ -559,6 +589,11 @@
   impl_->post([this, request_id]() { impl_->cancel(request_id); });
 }
 
+void peer_network::limit_answers(const std::string& address, std::vector<request_id> calls, duration within) {
+  impl_->post(
+      [this, address, calls = std::move(calls), within]() { impl_->limit_answers(address, calls, within); });
+}
+
 void peer_network::drop_connections() {
   impl_->post([this]() { impl_->drop_connections(); });
 }
--- a/nutmegarch/protocol/peer_network.h
+++ b/nutmegarch/protocol/peer_network.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -27,6 +28,8 @@
   virtual void on_cancel(std::uint64_t exchange_id) = 0;
   /// Handles a request for an order ticket. It is answered like a call; `call.request` is null.
   virtual void on_ticket_request(std::uint64_t exchange_id, peer_call call) = 0;
+  /// The peer that sent `calls` stops, and takes their answers only for the time `within`.
+  virtual void on_answer_limit(const std::vector<request_id>& calls, duration within) = 0;
   /// Merges the gossip message of a peer, and returns the reply.
   virtual peer_exchange on_exchange(peer_exchange offer) = 0;
 };
@@ -85,6 +88,10 @@
   std::uint64_t exchange(const std::string& address, peer_exchange offer, exchange_callback done);
   /// Cancels a request, also at the peer. The callback does not run afterwards, unless it is already running.
   void cancel(std::uint64_t request_id);
+  /// Tells a peer that this node stops, and takes the answers to `calls`, which it has sent there before,
+  /// only for the time `within`. Calls that wait at the peer and can't end in time are then answered as not
+  /// run.
+  void limit_answers(const std::string& address, std::vector<request_id> calls, duration within);
   /// Closes all connections to peers; pending requests fail. Used after the process was paused, because peers
   /// may have closed the connections meanwhile.
   void drop_connections();
--- a/unit_tests/platform/planned_stop_test.cpp
+++ b/unit_tests/platform/planned_stop_test.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+/// Slots of each server, see small_platform::register_server().
+constexpr int slots = 4;
+
 /// A platform whose node 1 can be stopped while callers use it.
 struct stopping_platform : small_platform {
   stopping_platform() : stopping_platform(std::chrono::seconds(4)) {}
@@ -35,6 +38,39 @@
     servers[0]->release();
     servers[1]->release();
   }
+  /// Sends an order to node `entry` that waits in the queue of the other node, stops `stopped`, and checks
+  /// that the order is refused and never runs.
+  void check_waiting_order(std::size_t entry, std::size_t stopped) {
+    const std::size_t beside = 1 - entry;
+    if (stopped == beside) {
+      nodes.erase(stopped);
+      start_node(stopped);
+      BOOST_REQUIRE(wait_for([&]() { return is_ready(stopped); }));
+    }
+    wait_until_applied({0, 1});
+    // The only server that takes requests is full.
+    servers.at(entry)->set_refusing(true);
+    servers.at(beside)->set_holding(true);
+    std::vector<std::thread> holders;
+    const int runs_before = servers.at(beside)->runs();
+    for (int i = 0; i < slots; ++i) {
+      holders.emplace_back([this, beside]() { send_request(beside, "GET", "/look/held"); });
+    }
+    BOOST_REQUIRE(wait_for([&]() { return servers.at(beside)->runs() == runs_before + slots; }));
+    answer_message answer;
+    std::thread order([&]() { answer = send_request(entry, "POST", "/buy/waiting"); });
+    BOOST_REQUIRE(
+        wait_for([&]() { return metrics(beside).find("nutmegarch_waiting 1") != std::string::npos; }));
+    nodes.at(stopped)->leave();
+    order.join();
+    BOOST_TEST(answer.status == 503);
+    servers.at(beside)->release();
+    nodes.at(stopped)->wait();
+    for (std::thread& holder : holders) {
+      holder.join();
+    }
+    BOOST_TEST(servers.at(beside)->runs() == runs_before + slots);
+  }
   /// Starts the stop of node 1, and returns when its time of notice is over.
   void stop_and_wait_for_notice() {
     nodes[1]->leave();
@@ -104,6 +140,18 @@
   first.join();
 }
 
+// Guards against orders that wait in the queue of another node when the node that took them stops: no server
+// gets them, so that their callers must be told that they have not run.
+BOOST_FIXTURE_TEST_CASE(order_that_waits_at_another_node_is_refused_unrun_when_its_node_stops,
+                        stopping_platform) {
+  check_waiting_order(1, 1);
+}
+
+// As above, but the order waits in the queue of the node that stops.
+BOOST_FIXTURE_TEST_CASE(order_that_waits_at_a_stopping_node_is_refused_unrun, stopping_platform) {
+  check_waiting_order(1, 0);
+}
+
 // A request with a short timeout ends in time, so that it is served also late in the stop.
 BOOST_FIXTURE_TEST_CASE(request_that_ends_before_a_stopping_node_does_is_served, small_platform) {
   nodes.erase(1);
--- a/unit_tests/policy/receiver_test.cpp
+++ b/unit_tests/policy/receiver_test.cpp
@@ -239,13 +239,75 @@
   const inbound_call_ptr late = make_call(3, call_class::order, start_time, std::chrono::minutes(1));
   tested.offer(running, start_time, actions);
   tested.offer(waiting, start_time, actions);
-  tested.start_leaving();
+  tested.start_leaving(never);
   tested.offer(late, start_time, actions);
   BOOST_TEST((late->phase == inbound_phase::done));
   tested.finish(running, target_result::answered, start_time, actions);
   BOOST_TEST((waiting->phase == inbound_phase::running));
 }
 
+// Guards against calls that wait at a stopping node until it cuts them, or start there too late to end in
+// time.
+BOOST_AUTO_TEST_CASE(waiting_calls_that_a_stopping_node_can_not_answer_in_time_are_refused) {
+  receiver_settings settings;
+  settings.slots = 1;
+  settings.assumed_service_time = std::chrono::milliseconds(100);
+  receiver tested(settings);
+  receiver_actions actions;
+  const inbound_call_ptr running = make_call(1, call_class::order, start_time, std::chrono::minutes(1));
+  const inbound_call_ptr first = make_call(2, call_class::order, start_time, std::chrono::minutes(1));
+  const inbound_call_ptr second = make_call(3, call_class::order, start_time, std::chrono::minutes(1));
+  for (const inbound_call_ptr& call : {running, first, second}) {
+    tested.offer(call, start_time, actions);
+  }
+  actions.clear();
+  const time_point due = start_time + std::chrono::seconds(5);
+  tested.start_leaving(due);
+  tested.on_tick(due - std::chrono::milliseconds(300), actions);
+  BOOST_TEST(actions.empty());
+  tested.finish(running, target_result::answered, due - std::chrono::milliseconds(300), actions);
+  BOOST_TEST((first->phase == inbound_phase::running));
+  actions.clear();
+  tested.on_tick(due, actions);
+  BOOST_REQUIRE(actions.size() == 1U);
+  BOOST_TEST((actions.front().call == second));
+  BOOST_TEST((actions.front().what == receiver_action::kind::refuse));
+  BOOST_TEST((actions.front().reason == call_reason::leaving));
+}
+
+// Guards against calls that wait here when their caller's node stops: it could not take the answer.
+BOOST_AUTO_TEST_CASE(waiting_calls_whose_caller_stops_before_they_can_end_are_refused) {
+  receiver_settings settings;
+  settings.slots = 1;
+  settings.assumed_service_time = std::chrono::milliseconds(100);
+  receiver tested(settings);
+  receiver_actions actions;
+  const inbound_call_ptr running = make_call(1, call_class::order, start_time, std::chrono::minutes(1));
+  const inbound_call_ptr told = make_call(2, call_class::order, start_time, std::chrono::minutes(1));
+  const inbound_call_ptr other = make_call(3, call_class::order, start_time, std::chrono::minutes(1));
+  for (const inbound_call_ptr& call : {running, told, other}) {
+    tested.offer(call, start_time, actions);
+  }
+  actions.clear();
+  const time_point due = start_time + std::chrono::seconds(5);
+  tested.limit_answer(told, due, start_time, actions);
+  tested.limit_answer(running, due, start_time, actions);
+  BOOST_TEST(actions.empty());
+  tested.on_tick(due, actions);
+  BOOST_REQUIRE(actions.size() == 1U);
+  BOOST_TEST((actions.front().call == told));
+  BOOST_TEST((actions.front().reason == call_reason::leaving));
+  BOOST_TEST((running->phase == inbound_phase::running));
+
+  // A call that arrives with a limit is refused at once if it can't end within it.
+  const inbound_call_ptr late = make_call(4, call_class::order, start_time, std::chrono::minutes(1));
+  late->answer_due = due + std::chrono::milliseconds(50);
+  actions.clear();
+  tested.offer(late, due, actions);
+  BOOST_REQUIRE(actions.size() == 1U);
+  BOOST_TEST((actions.front().reason == call_reason::leaving));
+}
+
 // Guards against late important requests at the last service of call chains. Inner calls of browse requests
 // alone exceed the capacity of the target, and the few important requests must not wait behind them.
 // Simulated in steps of 1 ms.
--- a/unit_tests/protocol/peer_network_test.cpp
+++ b/unit_tests/protocol/peer_network_test.cpp
@@ -43,6 +43,9 @@
   void on_ticket_request(std::uint64_t exchange_id, peer_call) override {
     network_.answer(exchange_id, peer_answer{});
   }
+  void on_answer_limit(const std::vector<request_id>& calls, duration within) override {
+    limited.set_value({calls, within});
+  }
   peer_exchange on_exchange(peer_exchange offer) override {
     offer.self.host += "-answered";
     return offer;
@@ -50,6 +53,8 @@
 
   std::promise<void> arrived;
   std::promise<void> cancelled;
+  /// Set with the arguments of on_answer_limit().
+  std::promise<std::pair<std::vector<request_id>, duration>> limited;
 
  private:
   peer_network& network_;
@@ -100,6 +105,35 @@
 
 BOOST_AUTO_TEST_SUITE(peers)
 
+// A message of an earlier version has no limit; one out of range is no limit either.
+BOOST_AUTO_TEST_CASE(time_for_the_answer_passes_and_is_unlimited_without_a_value) {
+  capnp::MallocMessageBuilder builder;
+  wire::CallContext::Builder written = builder.initRoot<wire::CallContext>();
+  BOOST_TEST((read_context(written.asReader()).context.answer_within == duration::max()));
+  written.setAnswerWithin(-1);
+  BOOST_TEST((read_context(written.asReader()).context.answer_within == duration::max()));
+  call_context context;
+  for (const duration within : {duration::max(), duration(std::chrono::milliseconds(700)), duration(1)}) {
+    context.answer_within = within;
+    write_context(context, 0, written);
+    BOOST_TEST((read_context(written.asReader()).context.answer_within == within));
+  }
+  // No time is left, which differs from no limit.
+  context.answer_within = duration{};
+  write_context(context, 0, written);
+  BOOST_TEST((read_context(written.asReader()).context.answer_within <= duration(1)));
+}
+
+BOOST_FIXTURE_TEST_CASE(limit_of_answers_follows_the_calls_that_it_is_for, two_networks) {
+  client.call(address, make_call("never"), [](const result<peer_answer, peer_error>&) {});
+  client.limit_answers(address, {{1, 2}, {3, 4}}, std::chrono::seconds(5));
+  const std::pair<std::vector<request_id>, duration> limit = server_service.limited.get_future().get();
+  BOOST_TEST(
+      (server_service.arrived.get_future().wait_for(std::chrono::seconds(0)) == std::future_status::ready));
+  BOOST_TEST((limit.first == std::vector<request_id>{{1, 2}, {3, 4}}));
+  BOOST_TEST((limit.second == std::chrono::seconds(5)));
+}
+
 BOOST_AUTO_TEST_CASE(negative_remaining_time_is_read_as_zero) {
   call_context context;
   context.remaining = duration::min();
