Fix answers that are lost behind a request that outlasts a planned stop

Callers would see: a pipelined request's answer is ready, but the request before it on the connection still runs at the end of the stop; the connection closes without either (LOST).

Cause: the node stopped its threads with calls open, and answers leave a connection in the order of the requests.

Now, shortly before the end, each open call is answered with what is known of it: 502 if it may have run, which promises no more than a closed connection, 503 if it was not sent. Answers behind it are written.

The test answer_behind_a_request_that_outlasts_the_stop_is_delivered failed before: nothing was received.

--- a/nutmegarch/node/node.cpp
+++ b/nutmegarch/node/node.cpp
@@ -209,13 +209,18 @@
 
   // Once the notice is over, senders know that the node is leaving. Stop accepting, then wait for requests on
   // the connections that are open.
+  bool is_abort_due = false;
   bool is_overdue = false;
   bool is_notice_over = false;
   {
     const std::lock_guard<std::mutex> lock(state_.mutex);
+    is_abort_due = now >= state_.stop.abort_at();
     is_overdue = now >= state_.stop.end();
     is_notice_over = state_.stop.is_notice_over(now);
   }
+  if (is_abort_due) {
+    outbound_->abort_calls();
+  }
   if (accept_stopped_at_ == time_point{}) {
     if (is_overdue || is_notice_over) {
       accept_stopped_at_ = now;
--- a/nutmegarch/node/outbound_path.cpp
+++ b/nutmegarch/node/outbound_path.cpp
@@ -119,6 +119,17 @@
   limit_earlier_attempts();
 }
 
+void outbound_path::abort_calls() {
+  policy::sender_actions actions;
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    for (const std::pair<const std::uint64_t, open_call>& entry : calls_) {
+      state_.sender.abort(entry.second.call, state_.clock.now(), actions);
+    }
+  }
+  run_actions(actions);
+}
+
 void outbound_path::limit_earlier_attempts() {
   std::map<std::string, std::vector<request_id>> calls_by_peer;
   duration within{};
--- a/nutmegarch/node/outbound_path.h
+++ b/nutmegarch/node/outbound_path.h
@@ -25,6 +25,8 @@
 
   /// Runs the timers of the open calls: deadlines and hedges. Takes the state's lock.
   void on_tick();
+  /// Answers all open calls with what is known of them, because this node stops. Takes the state's lock.
+  void abort_calls();
   /// Whether no call is open. Takes the state's lock.
   bool is_idle() const;
   /// Number of requests received since the start. Any thread may call it.
--- a/nutmegarch/policy/sender.cpp
+++ b/nutmegarch/policy/sender.cpp
@@ -145,9 +145,17 @@
 }
 
 void sender::cancel(const outbound_call_ptr& call, time_point now, sender_actions& actions) {
+  give_up(call, call_reason::cancelled, now, actions);
+}
+
+void sender::abort(const outbound_call_ptr& call, time_point now, sender_actions& actions) {
+  give_up(call, call_reason::leaving, now, actions);
+}
+
+void sender::give_up(const outbound_call_ptr& call, call_reason reason, time_point now,
+                     sender_actions& actions) {
   if (!call->done) {
-    complete(call, outcome_without_answer(*call, has_open_attempt(*call)), call_reason::cancelled, 0, now,
-             actions);
+    complete(call, outcome_without_answer(*call, has_open_attempt(*call)), reason, 0, now, actions);
   }
 }
 
--- a/nutmegarch/policy/sender.h
+++ b/nutmegarch/policy/sender.h
@@ -74,6 +74,8 @@
                  time_point now, sender_actions& actions);
   /// Completes the call, because its caller no longer waits.
   void cancel(const outbound_call_ptr& call, time_point now, sender_actions& actions);
+  /// Completes the call with the outcome known so far, because this node stops.
+  void abort(const outbound_call_ptr& call, time_point now, sender_actions& actions);
   /// Handles expired deadlines and hedge timers. Must be called at next_timer() or later.
   void on_tick(time_point now, sender_actions& actions);
   /// @}
@@ -125,6 +127,7 @@
   /// True when the limits on attempts allow one more attempt.
   bool has_attempts_left(const outbound_call& call) const;
   bool may_retry(const outbound_call& call, call_outcome outcome) const;
+  void give_up(const outbound_call_ptr& call, call_reason reason, time_point now, sender_actions& actions);
   void complete(const outbound_call_ptr& call, call_outcome outcome, call_reason reason, std::size_t index,
                 time_point now, sender_actions& actions);
   void hedge(const outbound_call_ptr& call, time_point now, sender_actions& actions);
--- a/nutmegarch/policy/stop_schedule.h
+++ b/nutmegarch/policy/stop_schedule.h
@@ -10,7 +10,7 @@
 struct stop_settings {
   /// In this time every request is taken: callers can't have learned yet that the node leaves.
   duration notice = std::chrono::milliseconds(2500);
-  /// Time in which the process must have ended. Calls that are open shortly before are aborted.
+  /// Time in which the process must have ended.
   duration limit = std::chrono::seconds(60);
 };
 
@@ -29,7 +29,10 @@
   bool is_notice_over(time_point now) const;
   /// Time until which answers are sure to be delivered; `never` before the stop.
   time_point answers_due() const;
-  /// Time at which open calls are aborted; `never` before the stop.
+  /// Time at which calls that are still open are aborted: each is answered with what is known of it, so that
+  /// answers that are ready behind it on a connection are delivered, too. `never` before the stop.
+  time_point abort_at() const;
+  /// Time at which the process ends; `never` before the stop.
   time_point end() const;
 
   /// The deadline with which a request may begin that expires at `deadline`; nullopt when it must be refused.
--- a/unit_tests/platform/planned_stop_test.cpp
+++ b/unit_tests/platform/planned_stop_test.cpp
@@ -79,6 +79,11 @@
   }
 };
 
+std::string pipelined_request(const std::string& name) {
+  return "GET /look/" + name + " HTTP/1.1\r\nHost: shop.example\r\nNutmegarch-Attempt-Id: " + name +
+         "\r\nNutmegarch-Deadline-Ms: 20000\r\n\r\n";
+}
+
 /// Further hosts of another service. Requests that all begin at hosts of the shop then look like calls that
 /// only its servers make.
 struct stopping_platform_with_inner_looking_route : stopping_platform {
@@ -152,6 +157,34 @@
   check_waiting_order(1, 0);
 }
 
+// Guards against answers that are lost because they are ready behind a request that outlasts the stop, on the
+// same connection.
+BOOST_FIXTURE_TEST_CASE(answer_behind_a_request_that_outlasts_the_stop_is_delivered, stopping_platform) {
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::socket socket(context);
+  socket.connect(*http::parse_address(callers_address(1)));
+  hold(true);
+  const int runs_before = runs();
+  boost::asio::write(socket, boost::asio::buffer(pipelined_request("held")));
+  BOOST_REQUIRE(wait_for([&]() { return runs() > runs_before; }));
+  hold(false);
+  boost::asio::write(socket, boost::asio::buffer(pipelined_request("behind")));
+  BOOST_REQUIRE(wait_for([&]() { return runs() > runs_before + 1; }));
+  std::string received;
+  std::thread reader([&]() {
+    boost::system::error_code error;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(received), error);
+  });
+  nodes[1]->leave();
+  nodes[1]->wait();
+  nodes.erase(1);
+  reader.join();
+  BOOST_TEST(received.find("HTTP/1.1 502 ") == 0U);
+  BOOST_TEST(received.find("HTTP/1.1 200 ") != std::string::npos);
+  BOOST_TEST(received.find("/look/behind") != std::string::npos);
+  release();
+}
+
 // A request with a short timeout ends in time, so that it is served also late in the stop.
 BOOST_FIXTURE_TEST_CASE(request_that_ends_before_a_stopping_node_does_is_served, small_platform) {
   nodes.erase(1);
--- a/unit_tests/platform/small_platform.h
+++ b/unit_tests/platform/small_platform.h
@@ -382,8 +382,11 @@
     return {servers.at(0)->runs() - before.at(0), servers.at(1)->runs() - before.at(1)};
   }
 
+  /// Where a node takes the requests of callers.
+  std::string callers_address(std::size_t index) const { return ip_of(peer_addresses_.at(index)) + ":20002"; }
+
   /// A caller that keeps its connection to a node.
-  caller make_caller(std::size_t index) const { return caller(ip_of(peer_addresses_.at(index)) + ":20002"); }
+  caller make_caller(std::size_t index) const { return caller(callers_address(index)); }
 
   answer_message send_request(std::size_t index, const std::string& method, const std::string& path,
                               headers fields = {}, const std::string& body = "") {
--- a/unit_tests/policy/stop_schedule_test.cpp
+++ b/unit_tests/policy/stop_schedule_test.cpp
@@ -46,7 +46,8 @@
   BOOST_TEST((tested.admit(late + seconds(2), true, late) == tested.answers_due()));
   BOOST_TEST((tested.admit(never, true, late) == tested.answers_due()));
   BOOST_TEST(!tested.admit(never, true, tested.answers_due()));
-  BOOST_TEST((tested.answers_due() < tested.end()));
+  BOOST_TEST((tested.answers_due() < tested.abort_at()));
+  BOOST_TEST((tested.abort_at() < tested.end()));
 }
 
 BOOST_AUTO_TEST_CASE(a_second_signal_does_not_prolong_the_stop) {
