Give up answers whose framing outweighs their data by over 1 MiB

Cause: the bound on framing was a ratio of 8 bytes to a byte of data, and a chunk of one byte has 5, so that only the bound on the data (16 MB, 96 MB on the wire) ended the answer.

Now framing may exceed the data by 1 MiB at most.

The test endless_chunks_of_one_byte_are_rejected failed before: no failure as malformed within 2 s, 67,111,858 bytes written (the script's own limit) with a bound of 8,388,608.

--- a/nutmegarch/policy/answer_limit_checker.h
+++ b/nutmegarch/policy/answer_limit_checker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 
 namespace nutmegarch::policy {
@@ -10,6 +11,9 @@
   std::size_t max_head_bytes = 16U << 10U;
   /// Maximum bytes of framing per byte of a chunked body, beyond the head and the trailer.
   std::size_t max_framing_per_body_byte = 8;
+  /// Maximum bytes of framing of a chunked body once they outweigh its data. Each chunk, however small, costs
+  /// the reader processor time.
+  std::size_t max_excess_framing_bytes = 1U << 20U;
   /// Maximum number of interim answers (1xx) before the final one.
   int max_interim_answers = 8;
   /// Maximum number of answers to earlier requests before the expected one.
@@ -26,7 +30,9 @@
   /// the share of framing exceeds the limits.
   bool on_read(std::size_t size, std::size_t body) {
     read_bytes_ += size;
-    return read_bytes_ <= 2 * limits_.max_head_bytes + body * (1 + limits_.max_framing_per_body_byte);
+    const std::size_t max_framing = std::min(body * limits_.max_framing_per_body_byte,
+                                             std::max(body, limits_.max_excess_framing_bytes));
+    return read_bytes_ <= 2 * limits_.max_head_bytes + body + max_framing;
   }
 
   /// Counts an interim answer, after which another answer follows. Returns false when there are too many.
--- a/unit_tests/http/endless_answer_test.cpp
+++ b/unit_tests/http/endless_answer_test.cpp
@@ -138,6 +138,14 @@
   check_rejected_early({chunked_head, "1;x=" + filler_text + "\r\nb\r\n"}, lenient_settings());
 }
 
+BOOST_AUTO_TEST_CASE(endless_chunks_of_one_byte_are_rejected) {
+  std::string chunks;
+  for (std::size_t i = 0; i < 700; ++i) {
+    chunks += "1\r\na\r\n";
+  }
+  check_rejected_early({chunked_head, chunks}, lenient_settings());
+}
+
 BOOST_AUTO_TEST_CASE(endless_interim_answers_are_rejected) {
   check_rejected_early({"", "HTTP/1.1 100 Continue\r\n\r\n"}, lenient_settings());
 }
--- a/unit_tests/policy/answer_limits_test.cpp
+++ b/unit_tests/policy/answer_limits_test.cpp
@@ -25,6 +25,23 @@
   }
 }
 
+// Guards against endless answers in chunks of one byte, which take the processor time of the calls beside them.
+BOOST_AUTO_TEST_CASE(framing_may_outweigh_the_data_of_a_long_body_only_up_to_a_bound) {
+  constexpr std::size_t chunk = 6;
+  answer_limits limits;
+  answer_limit_checker small_chunks(limits);
+  std::size_t body = 0;
+  while (small_chunks.on_read(chunk, body + 1)) {
+    ++body;
+    BOOST_REQUIRE(body < limits.max_excess_framing_bytes);
+  }
+  // Chunks as large as their framing pass without a bound.
+  answer_limit_checker large_chunks(limits);
+  for (std::size_t long_body = 5; long_body <= 10'000'000; long_body += 5) {
+    BOOST_REQUIRE(large_chunks.on_read(10, long_body));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(answers_before_the_expected_one_are_limited) {
   answer_limits limits;
   limits.max_interim_answers = 2;
