Bound the memory of unfinished messages of all peers together

From a report of other operators: bytes that were no answer, without end, filled the memory of the machine that had called. Looked for on each connection of a node. Answers of targets and of the store were bounded already; connections between nodes were not: the RPC library bounds a message by 64 MiB, and nothing bounded all of them.

Machines of the users have 160 to 512 MB.

Now what has been received of unfinished messages is counted for all connections, opened and accepted. Beyond 64 MiB the connection with the largest is closed, with a line in the log and a metric. One message of 64 MiB passes as before.

--- a/nutmegarch/node/memory_monitor.cpp
+++ b/nutmegarch/node/memory_monitor.cpp
@@ -22,6 +22,7 @@
                   {"unfinished_answer_bytes", inbound_.unfinished_answer_bytes()},
                   {"peer_request_queue_bytes", peers.request_bytes},
                   {"peer_answer_queue_bytes", peers.answer_bytes},
+                  {"peer_unfinished_bytes", peers.unfinished_bytes},
                   {"log_buffer_bytes", observe::waiting_log_bytes()}};
   const std::lock_guard<std::mutex> lock(state_.mutex);
   usage.queues.emplace_back("outbound_open_bytes", outbound_.size_in_bytes());
@@ -35,6 +36,7 @@
     return;
   }
   next_sample_ = now + sample_interval;
+  report_closed_peers();
   const std::optional<observe::process_memory> memory = observe::read_process_memory();
   const std::optional<std::size_t> step = memory ? steps_.update(memory->resident_bytes) : std::nullopt;
   if (!step) {
@@ -56,4 +58,14 @@
   observe::log_event(observe::log_level::warning, "memory-step", fields);
 }
 
+void memory_monitor::report_closed_peers() {
+  const std::size_t closed = peers_.queues().closed_for_size;
+  if (closed == reported_closed_peers_) {
+    return;
+  }
+  observe::log_event(observe::log_level::warning, "peer-messages-too-large",
+                     {{"connections", std::to_string(closed - reported_closed_peers_)}});
+  reported_closed_peers_ = closed;
+}
+
 }  // namespace nutmegarch::node
--- a/nutmegarch/node/memory_monitor.h
+++ b/nutmegarch/node/memory_monitor.h
@@ -36,6 +36,9 @@
   void on_tick(time_point now);
 
  private:
+  /// Logs that connections to peers were closed because of their unfinished messages, if some were.
+  void report_closed_peers();
+
   node_state& state_;
   const inbound_path& inbound_;
   const outbound_path& outbound_;
@@ -43,6 +46,7 @@
   const http::server& callers_;
   policy::memory_step_detector steps_;
   time_point next_sample_{};
+  std::size_t reported_closed_peers_ = 0;
 };
 
 }  // namespace nutmegarch::node
--- a/nutmegarch/node/node_settings.cpp
+++ b/nutmegarch/node/node_settings.cpp
@@ -126,6 +126,7 @@
   reader.read_strings("/gossip/seeds", to.gossip.seeds);
   reader.read_duration("/gossip/silence", to.gossip.silence, seconds(1), hours(1));
   reader.read_integer("/peers/most_queued_bytes", to.peers.queues.max_bytes, 1 << 16, 1 << 30);
+  reader.read_integer("/peers/most_unfinished_bytes", to.peers.unfinished.max_bytes, 1 << 16, 1 << 30);
   reader.read_duration("/peers/connect_timeout", to.peers.connect_timeout, milliseconds(1), minutes(1));
   reader.read_duration("/peers/ping_after", to.peers.ping_after, milliseconds(10), minutes(1));
   reader.read_duration("/peers/ping_timeout", to.peers.ping_timeout, milliseconds(10), minutes(1));
--- a/nutmegarch/protocol/asio_stream.cpp
+++ b/nutmegarch/protocol/asio_stream.cpp
@@ -19,7 +19,11 @@
 
 }  // namespace
 
-asio_stream::asio_stream(tcp::socket socket) : socket_(std::move(socket)), disconnected_(nullptr) {
+asio_stream::asio_stream(tcp::socket socket, unfinished_messages& unfinished)
+    : socket_(std::move(socket)),
+      unfinished_(unfinished),
+      unfinished_id_(unfinished.add([this]() { close(); })),
+      disconnected_(nullptr) {
   kj::PromiseFulfillerPair<void> pair = kj::newPromiseAndFulfiller<void>();
   disconnect_fulfiller_ = kj::mv(pair.fulfiller);
   disconnected_ = pair.promise.fork();
@@ -28,6 +32,8 @@
   http::set_connection_options(socket_);
 }
 
+asio_stream::~asio_stream() noexcept { unfinished_.remove(unfinished_id_); }
+
 kj::Promise<std::size_t> asio_stream::tryRead(void* buffer, std::size_t min_bytes, std::size_t max_bytes) {
   return read_more(static_cast<kj::byte*>(buffer), min_bytes, max_bytes, 0);
 }
@@ -53,6 +59,12 @@
 
 kj::Promise<void> asio_stream::whenWriteDisconnected() { return disconnected_.addBranch(); }
 
+void asio_stream::close() {
+  // Pending and later reads and writes fail.
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
+
 void asio_stream::shutdownWrite() {
   boost::system::error_code ignored;
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
@@ -72,6 +84,8 @@
   while (bytes_read < min_bytes) {
     boost::system::error_code error;
     bytes_read += socket_.read_some(boost::asio::buffer(buffer + bytes_read, max_bytes - bytes_read), error);
+    // The segments of a message are read as one piece.
+    unfinished_.update(unfinished_id_, bytes_read < min_bytes ? bytes_read : 0);
     if (is_would_block(error)) {
       return wait_until_ready(tcp::socket::wait_read)
           .then([this, buffer, min_bytes, max_bytes, bytes_read]() {
--- a/nutmegarch/protocol/asio_stream.h
+++ b/nutmegarch/protocol/asio_stream.h
@@ -5,12 +5,18 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <kj/async-io.h>
 
+#include "nutmegarch/protocol/unfinished_messages.h"
+
 namespace nutmegarch::protocol {
 
 /// Adapts a connected socket to KJ's stream interface. Must be used on the thread of an asio_event_port.
 class asio_stream final : public kj::AsyncIoStream {
  public:
-  explicit asio_stream(boost::asio::ip::tcp::socket socket);
+  /// `unfinished` must outlive the stream.
+  asio_stream(boost::asio::ip::tcp::socket socket, unfinished_messages& unfinished);
+  asio_stream(const asio_stream&) = delete;
+  asio_stream& operator=(const asio_stream&) = delete;
+  ~asio_stream() noexcept;
 
   kj::Promise<std::size_t> tryRead(void* buffer, std::size_t min_bytes, std::size_t max_bytes) override;
   kj::Promise<void> write(const void* buffer, std::size_t size) override;
@@ -24,7 +30,12 @@
                                      std::size_t bytes_read);
   kj::Promise<void> write_remaining(kj::Array<kj::byte> content, std::size_t bytes_written);
 
+  void close();
+
   boost::asio::ip::tcp::socket socket_;
+  unfinished_messages& unfinished_;
+  /// Id of this stream there.
+  std::uint64_t unfinished_id_;
   kj::ForkedPromise<void> disconnected_;
   kj::Own<kj::PromiseFulfiller<void>> disconnect_fulfiller_;
 };
--- a/nutmegarch/protocol/peer_network.cpp
+++ b/nutmegarch/protocol/peer_network.cpp
@@ -24,6 +24,7 @@
 #include "nutmegarch/protocol/asio_event_port.h"
 #include "nutmegarch/protocol/asio_stream.h"
 #include "nutmegarch/protocol/codec.h"
+#include "nutmegarch/protocol/unfinished_messages.h"
 
 namespace nutmegarch::protocol {
 
@@ -56,8 +57,9 @@
 
 /// Connection that a peer has opened.
 struct accepted_connection {
-  accepted_connection(tcp::socket socket, capnp::Capability::Client bootstrap)
-      : stream(std::move(socket)),
+  accepted_connection(tcp::socket socket, unfinished_messages& unfinished,
+                      capnp::Capability::Client bootstrap)
+      : stream(std::move(socket), unfinished),
         network(stream, capnp::rpc::twoparty::Side::SERVER),
         rpc(capnp::makeRpcServer(network, kj::mv(bootstrap))) {}
 
@@ -75,6 +77,7 @@
   impl(boost::asio::io_context& io, const peer_network_settings& settings)
       : settings_(settings),
         queue_limit_(settings.queues),
+        unfinished_(settings.unfinished),
         io_(io),
         work_(io.get_executor()),
         acceptor_(io),
@@ -108,7 +111,9 @@
 
   std::uint64_t next_request_id() { return ++last_request_id_; }
 
-  peer_queues queues() const { return {queued_request_bytes_, queued_answer_bytes_}; }
+  peer_queues queues() const {
+    return {queued_request_bytes_, queued_answer_bytes_, unfinished_bytes_, closed_for_size_};
+  }
 
   void call(std::uint64_t request_id, const std::string& address, peer_call content, answer_callback done) {
     const std::size_t size = content.request->body.size() + message_overhead_bytes;
@@ -248,13 +253,16 @@
       check_connections();
       queued_request_bytes_ = count_queued_bytes();
       queued_answer_bytes_ = count_queued_answer_bytes();
+      unfinished_bytes_ = unfinished_.total();
+      closed_for_size_ = unfinished_.closed_count();
       tick();
     });
   }
 
   /// Serves the requests of a peer until it disconnects.
   void serve(tcp::socket socket, capnp::Capability::Client& bootstrap) {
-    kj::Own<accepted_connection> accepted = kj::heap<accepted_connection>(std::move(socket), bootstrap);
+    kj::Own<accepted_connection> accepted =
+        kj::heap<accepted_connection>(std::move(socket), unfinished_, bootstrap);
     accepted_connection* const key = accepted.get();
     accepted_connections_.insert(key);
     tasks_->add(accepted->network.onDisconnect().attach(
@@ -354,7 +362,7 @@
   }
 
   void start_rpc(peer_connection& connection, tcp::socket socket) {
-    connection.stream = kj::heap<asio_stream>(std::move(socket));
+    connection.stream = kj::heap<asio_stream>(std::move(socket), unfinished_);
     connection.client = kj::heap<capnp::TwoPartyClient>(*connection.stream);
     connection.peer = connection.client->bootstrap().castAs<wire::Peer>();
     connection.last_received_at = clock_.now();
@@ -456,12 +464,16 @@
 
   peer_network_settings settings_;
   policy::queue_share_limit queue_limit_;
+  /// Declared before all streams, which use it.
+  unfinished_messages unfinished_;
   system_time_source clock_;
   peer_service* service_ = nullptr;
   std::thread thread_;
   std::atomic<std::uint64_t> last_request_id_{0};
   std::atomic<std::size_t> queued_request_bytes_{0};
   std::atomic<std::size_t> queued_answer_bytes_{0};
+  std::atomic<std::size_t> unfinished_bytes_{0};
+  std::atomic<std::size_t> closed_for_size_{0};
   boost::asio::io_context& io_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
   tcp::acceptor acceptor_;
--- a/nutmegarch/protocol/peer_network.h
+++ b/nutmegarch/protocol/peer_network.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "nutmegarch/core/result.h"
+#include "nutmegarch/policy/buffer_budget.h"
 #include "nutmegarch/policy/queue_share_limit.h"
 #include "nutmegarch/protocol/peer_messages.h"
 
@@ -46,14 +47,20 @@
   duration idle_timeout = std::chrono::seconds(60);
   /// Limit of the requests that wait to be written to peers. A request beyond it fails as queue_full.
   policy::queue_share_limit_settings queues;
+  /// Byte budget of the messages that are being received from all peers. One message may have 64 MiB.
+  policy::buffer_budget_settings unfinished = {64U << 20U, 64U << 10U};
 };
 
-/// Bytes that wait to be written to peers.
+/// What is held for peers.
 struct peer_queues {
   /// Calls, ticket requests and gossip, on connections that this node has opened.
   std::size_t request_bytes = 0;
   /// Answers, on connections that peers have opened.
   std::size_t answer_bytes = 0;
+  /// Messages that are being received.
+  std::size_t unfinished_bytes = 0;
+  /// Connections closed so far because such messages exceeded their budget; a count, not bytes.
+  std::size_t closed_for_size = 0;
 };
 
 /// Incoming and outgoing connections between peers, with Cap'n Proto RPC. The network has its own thread,
@@ -97,7 +104,7 @@
   void drop_connections();
   /// @}
 
-  /// What waits to be written to peers, as of the last tick or request.
+  /// What is held for peers, as of the last tick or request.
   peer_queues queues() const;
 
   /// Answers a call or a ticket request of a peer. Does nothing when the exchange was cancelled.
--- a/unit_tests/protocol/peer_network_test.cpp
+++ b/unit_tests/protocol/peer_network_test.cpp
@@ -1,7 +1,13 @@
 #include "nutmegarch/protocol/peer_network.h"
 
+#include <algorithm>
+#include <atomic>
+#include <chrono>
 #include <cmath>
 #include <future>
+#include <list>
+#include <string>
+#include <thread>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -9,8 +15,10 @@
 #include <boost/test/unit_test.hpp>
 #include <capnp/message.h>
 
+#include "nutmegarch/observe/process_memory.h"
 #include "nutmegarch/protocol/codec.h"
 
+#include "unit_tests/http/endless_peer.h"
 #include "unit_tests/loopback.h"
 
 namespace nutmegarch::protocol {
@@ -303,6 +311,42 @@
   BOOST_TEST(reply.marks.front().crashes == 2);
 }
 
+// Guards against bytes without end from what listens at a peer's address: no message at all, empty messages,
+// and a message that is announced as large as the protocol allows.
+BOOST_FIXTURE_TEST_CASE(endless_bytes_of_peers_use_bounded_memory, two_networks) {
+  constexpr int peer_count = 4;
+  constexpr std::size_t max_growth_bytes = 96U << 20U;
+  const std::string one_segment("\0\0\0\0", 4);
+  // 8 Mi words of 8 bytes, little-endian, less some for the root.
+  const std::string large_segment("\xF0\xFF\x7F\0", 4);
+  const std::vector<http::endless_script> scripts = {{"", std::string(4'000, 'a')},
+                                                     {"", std::string(4'000, '\0')},
+                                                     {one_segment + large_segment, std::string(4'000, 'a')}};
+  for (const http::endless_script& script : scripts) {
+    std::list<http::endless_peer> peers;
+    std::atomic<int> failed{0};
+    const std::size_t initial_bytes = observe::read_process_memory().value().resident_bytes;
+    std::size_t peak_bytes = initial_bytes;
+    for (int i = 0; i < peer_count; ++i) {
+      peers.emplace_back(script);
+      client.call("127.0.0.1:" + std::to_string(peers.back().address().port()), make_call("never"),
+                  [&failed](const result<peer_answer, peer_error>& outcome) {
+                    failed += succeeded(outcome) ? 0 : 1;
+                  });
+    }
+    const std::chrono::steady_clock::time_point end =
+        std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (failed < peer_count && std::chrono::steady_clock::now() < end) {
+      peak_bytes = std::max(peak_bytes, observe::read_process_memory().value().resident_bytes);
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    BOOST_TEST(failed == peer_count);
+    BOOST_TEST(peak_bytes - initial_bytes < max_growth_bytes);
+    // A sound peer is served meanwhile and afterwards.
+    BOOST_TEST(succeeded(call(address, "now")));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace nutmegarch::protocol
