--- a/unit_tests/platform/platform_path_test.cpp
+++ b/unit_tests/platform/platform_path_test.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-/// Within this time a change that the store has acknowledged must be in force.
-constexpr std::chrono::milliseconds change_bound{2'500};
+/// Time after a disturbance of the store from which changes must be in force in time again.
+constexpr std::chrono::seconds stable_window{3};
 
 /// Server 0 has said in an answer that node 1 passed on that it leaves. Its entry in the store still says
 /// ready.
@@ -504,6 +504,25 @@
 }
 
 // Guards against limits that stay old: only answers of the store applied the limits of a configuration.
+// Guards against nodes that miss a change after a silent outage: the calls that they made in its last moments
+// are never answered, and their connections return nothing further.
+BOOST_FIXTURE_TEST_CASE(change_after_a_silent_outage_of_the_store_is_in_force_in_time, small_platform) {
+  store.set_mode(stand_ins::store_stand_in::mode::silent);
+  std::this_thread::sleep_for(std::chrono::milliseconds(3'300));
+  store.set_mode(stand_ins::store_stand_in::mode::good);
+  std::this_thread::sleep_for(stable_window);
+  check_change_is_in_force_in_time();
+}
+
+// Guards against nodes that miss a change after all their open connections to the store went silent for good.
+BOOST_FIXTURE_TEST_CASE(change_after_all_watches_went_silent_is_in_force_in_time, small_platform) {
+  BOOST_REQUIRE(wait_for([&]() { return store.open_watches() == 2; }));
+  store.set_watches_silent(true);
+  store.set_watches_silent(false);
+  std::this_thread::sleep_for(stable_window);
+  check_change_is_in_force_in_time();
+}
+
 BOOST_FIXTURE_TEST_CASE(limits_of_a_configuration_that_a_peer_sent_are_applied, small_platform) {
   publish(
       2, {route_json("buy", "/buy/", "shop", "non_idempotent"),
--- a/unit_tests/platform/small_platform.h
+++ b/unit_tests/platform/small_platform.h
@@ -38,6 +38,9 @@
   return false;
 }
 
+/// Within this time a change that the store has acknowledged must be in force.
+constexpr std::chrono::milliseconds change_bound{2'500};
+
 /// Application server that signs its answers and records the last request.
 class fake_server final : public http::request_handler {
  public:
@@ -373,6 +376,17 @@
     return wait_for([&]() { return send_request(index, "GET", path).status == 200; });
   }
 
+  /// Publishes a further route, and checks that both nodes serve it within the bound.
+  void check_change_is_in_force_in_time() {
+    publish(++last_version_, {route_json("look", "/look/", "shop", "idempotent"),
+                              route_json("changed", "/changed/", "shop", "idempotent")});
+    const std::chrono::steady_clock::time_point begin = std::chrono::steady_clock::now();
+    for (const std::size_t index : {0, 1}) {
+      BOOST_REQUIRE(wait_for([&]() { return send_request(index, "GET", "/changed/").status == 200; }));
+    }
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < change_bound));
+  }
+
   /// Number of requests, of some sent to the node, that each of the servers ran.
   std::array<int, 2> runs_of_requests_to(std::size_t index) {
     const std::array<int, 2> before = {servers.at(0)->runs(), servers.at(1)->runs()};
