--- a/nutmegarch/policy/answer_limit_checker.h
+++ b/nutmegarch/policy/answer_limit_checker.h
@@ -30,8 +30,8 @@
   /// the share of framing exceeds the limits.
   bool on_read(std::size_t size, std::size_t body) {
     read_bytes_ += size;
-    const std::size_t max_framing = std::min(body * limits_.max_framing_per_body_byte,
-                                             std::max(body, limits_.max_excess_framing_bytes));
+    const std::size_t max_framing =
+        std::min(body * limits_.max_framing_per_body_byte, std::max(body, limits_.max_excess_framing_bytes));
     return read_bytes_ <= 2 * limits_.max_head_bytes + body + max_framing;
   }
 
--- a/unit_tests/policy/answer_limits_test.cpp
+++ b/unit_tests/policy/answer_limits_test.cpp
@@ -25,7 +25,8 @@
   }
 }
 
-// Guards against endless answers in chunks of one byte, which take the processor time of the calls beside them.
+// Guards against endless answers in chunks of one byte, which take the processor time of the calls beside
+// them.
 BOOST_AUTO_TEST_CASE(framing_may_outweigh_the_data_of_a_long_body_only_up_to_a_bound) {
   constexpr std::size_t chunk = 6;
   answer_limits limits;
