--- a/unit_tests/platform/planned_stop_test.cpp
+++ b/unit_tests/platform/planned_stop_test.cpp
@@ -38,6 +38,25 @@
     servers[0]->release();
     servers[1]->release();
   }
+  /// Sends an order on an open connection to node 1 when the notice of its stop is over, and checks that the
+  /// order is refused and does not run.
+  void check_late_order() {
+    caller kept = make_caller(1);
+    BOOST_REQUIRE(send_request(kept, "GET", "/look/1").status == 200);
+    // A request that runs keeps the node from ending before its time.
+    hold(true);
+    const int runs_before = runs();
+    std::thread first([&]() { send_request(1, "GET", "/look/held"); });
+    BOOST_REQUIRE(wait_for([&]() { return runs() > runs_before; }));
+    stop_and_wait_for_notice();
+    const int runs_before_late = runs();
+    const answer_message late = send_request(kept, "POST", "/buy/late");
+    BOOST_TEST(late.status == 503);
+    BOOST_TEST(runs() == runs_before_late);
+    release();
+    first.join();
+  }
+
   /// Sends an order to node `entry` that waits in the queue of the other node, stops `stopped`, and checks
   /// that the order is refused and never runs.
   void check_waiting_order(std::size_t entry, std::size_t stopped) {
@@ -52,6 +71,7 @@
     servers.at(entry)->set_refusing(true);
     servers.at(beside)->set_holding(true);
     std::vector<std::thread> holders;
+    holders.reserve(slots);
     const int runs_before = servers.at(beside)->runs();
     for (int i = 0; i < slots; ++i) {
       holders.emplace_back([this, beside]() { send_request(beside, "GET", "/look/held"); });
@@ -110,39 +130,14 @@
 // may be one that must not run twice, and its caller can't know whether it has run.
 BOOST_FIXTURE_TEST_CASE(request_that_would_not_end_before_a_stopping_node_does_is_refused_unrun,
                         stopping_platform) {
-  caller kept = make_caller(1);
-  BOOST_REQUIRE(send_request(kept, "GET", "/look/1").status == 200);
-  // A request that runs keeps the node from ending before its time.
-  hold(true);
-  const int runs_before = runs();
-  std::thread first([&]() { send_request(1, "GET", "/look/held"); });
-  BOOST_REQUIRE(wait_for([&]() { return runs() > runs_before; }));
-  stop_and_wait_for_notice();
-  const int runs_before_late = runs();
-  const answer_message late = send_request(kept, "POST", "/buy/late");
-  BOOST_TEST(late.status == 503);
-  BOOST_TEST(runs() == runs_before_late);
-  release();
-  first.join();
+  check_late_order();
 }
 
 // Guards against late orders that a stopping node passes on and cuts off, because it takes them for calls of
 // its own server: their route looks like one that only servers call, but the server runs nothing.
 BOOST_FIXTURE_TEST_CASE(late_order_on_a_route_that_looks_inner_is_refused_unrun,
                         stopping_platform_with_inner_looking_route) {
-  caller kept = make_caller(1);
-  BOOST_REQUIRE(send_request(kept, "GET", "/look/1").status == 200);
-  hold(true);
-  const int runs_before = runs();
-  std::thread first([&]() { send_request(1, "GET", "/look/held"); });
-  BOOST_REQUIRE(wait_for([&]() { return runs() > runs_before; }));
-  stop_and_wait_for_notice();
-  const int runs_before_late = runs();
-  const answer_message late = send_request(kept, "POST", "/buy/late");
-  BOOST_TEST(late.status == 503);
-  BOOST_TEST(runs() == runs_before_late);
-  release();
-  first.join();
+  check_late_order();
 }
 
 // Guards against orders that wait in the queue of another node when the node that took them stops: no server
