Receiver: one scan of each queue at a tick, and one place for the time that an answer is due

The scan for calls whose answer can't be delivered ran beside that for expired calls, over both queues at each tick. An unused include of stop_schedule.cpp goes, too. Behaviour is the same: an expired call is refused by its deadline, others as leaving.

--- a/nutmegarch/policy/receiver.cpp
+++ b/nutmegarch/policy/receiver.cpp
@@ -128,23 +128,14 @@
 
 void receiver::on_tick(time_point now, receiver_actions& actions) {
   // Refuse calls whose deadline has passed, and those whose answer could not be delivered.
-  std::vector<inbound_call_ptr> expired;
-  std::vector<inbound_call_ptr> undeliverable;
-  const std::function<bool(const inbound_call&)> is_expired = [now](const inbound_call& call) {
-    return call.deadline < now;
+  std::vector<inbound_call_ptr> ended;
+  const std::function<bool(const inbound_call&)> has_ended = [this, now](const inbound_call& call) {
+    return call.deadline < now || is_answer_too_late(call, now);
   };
-  const std::function<bool(const inbound_call&)> is_undeliverable = [this, now](const inbound_call& call) {
-    return is_answer_too_late(call, now);
-  };
-  for (wait_queue* const queue : {short_queue_.get(), long_queue_.get()}) {
-    queue->take_if(is_expired, expired);
-    queue->take_if(is_undeliverable, undeliverable);
-  }
-  for (const inbound_call_ptr& call : expired) {
-    refuse(call, call_reason::deadline, actions);
-  }
-  for (const inbound_call_ptr& call : undeliverable) {
-    refuse(call, call_reason::leaving, actions);
+  short_queue_->take_if(has_ended, ended);
+  long_queue_->take_if(has_ended, ended);
+  for (const inbound_call_ptr& call : ended) {
+    refuse(call, call->deadline < now ? call_reason::deadline : call_reason::leaving, actions);
   }
 
   trim_queues(actions);
@@ -216,11 +207,15 @@
   if (end > call.deadline) {
     return call_reason::deadline;
   }
-  return end > std::min(call.answer_due, answers_due_) ? call_reason::leaving : call_reason::none;
+  return end > answer_due_of(call) ? call_reason::leaving : call_reason::none;
+}
+
+time_point receiver::answer_due_of(const inbound_call& call) const {
+  return std::min(call.answer_due, answers_due_);
 }
 
 bool receiver::is_answer_too_late(const inbound_call& call, time_point now) const {
-  const time_point due = std::min(call.answer_due, answers_due_);
+  const time_point due = answer_due_of(call);
   return due != never && now + service_time(call.context.route, settings_.finish_quantile) > due;
 }
 
--- a/nutmegarch/policy/receiver.h
+++ b/nutmegarch/policy/receiver.h
@@ -136,6 +136,8 @@
   /// Why a call that ends at `end` must not start: its deadline, or a stop of its caller's node or of this
   /// one.
   call_reason reason_against_end(const inbound_call& call, time_point end) const;
+  /// Time after which the caller's node or this one can't deliver the answer; `never` unless one stops.
+  time_point answer_due_of(const inbound_call& call) const;
   /// True when the caller's node or this one stops before the answer to a call that starts now could be
   /// delivered.
   bool is_answer_too_late(const inbound_call& call, time_point now) const;
--- a/nutmegarch/policy/stop_schedule.cpp
+++ b/nutmegarch/policy/stop_schedule.cpp
@@ -1,7 +1,5 @@
 #include "nutmegarch/policy/stop_schedule.h"
 
-#include <algorithm>
-
 namespace nutmegarch::policy {
 
 namespace {
