--- a/nutmegarch/membership/published_source.h
+++ b/nutmegarch/membership/published_source.h
@@ -23,14 +23,21 @@
 
 /// Errors of a request to the platform's store.
 enum class store_error : std::uint8_t {
-  /// No answer was received, or an invalid one.
+  /// No connection could be established, or the answer was invalid.
   unavailable,
+  /// The connection ended before an answer.
+  connection_lost,
+  /// No answer came in time.
+  timed_out,
   /// The store rejected the request or did not process it.
   refused,
   /// The store no longer has the changes after the requested revision.
   history_lost
 };
 
+/// The error's name in logs.
+const char* name_of(store_error error);
+
 /// Reason why a published value could not be parsed, for people.
 struct published_value_error {
   std::string message;
--- a/nutmegarch/node/store_synchronizer.cpp
+++ b/nutmegarch/node/store_synchronizer.cpp
@@ -150,12 +150,14 @@
         state_.view.on_store_answer(now);
       }
       log_confirmation(is_page ? "listing" : "watch");
-    } else if (std::get<membership::store_error>(outcome) == membership::store_error::history_lost) {
+    } else if (const membership::store_error error = std::get<membership::store_error>(outcome);
+               error == membership::store_error::history_lost) {
       reader_.on_history_lost(now);
       state_.view.on_store_doubtful();
       observe::log_event(observe::log_level::info, "store-history-lost",
                          {{"revision", std::to_string(sent_request.revision)}});
     } else {
+      log_failed_call(sent_request, error, now);
       reader_.on_failure(now);
       state_.view.on_store_doubtful();
       state_.metrics.add("store_failures");
@@ -217,6 +219,18 @@
   return true;
 }
 
+void store_synchronizer::log_failed_call(const membership::store_request& request,
+                                         membership::store_error error, time_point now) const {
+  const bool is_watch = request.what == membership::store_request::kind::watch;
+  observe::log_event(observe::log_level::info, "store-call-failed",
+                     {{"what", is_watch ? "watch" : "page"},
+                      {"error", membership::name_of(error)},
+                      {"open_ms", observe::to_milliseconds_text(now - reader_.sent())},
+                      {"wait_ms", observe::to_milliseconds_text(request.wait)},
+                      {"failures", std::to_string(reader_.failures())},
+                      {"revision", std::to_string(store_copy_.revision())}});
+}
+
 void store_synchronizer::log_confirmation(const char* source) {
   const time_point now = state_.clock.now();
   const bool is_confirmed = state_.view.is_confirmed();
--- a/nutmegarch/node/store_synchronizer.h
+++ b/nutmegarch/node/store_synchronizer.h
@@ -55,6 +55,9 @@
   bool accept_configuration(const std::string& value, std::uint64_t revision, const std::string& from);
   /// Ends the watch in progress when it is silent; true when it was. Requires the state's lock.
   bool abandon_silent_watch(time_point now);
+  /// Requires the state's lock.
+  void log_failed_call(const membership::store_request& request, membership::store_error error,
+                       time_point now) const;
   /// Logs when the view becomes confirmed or ceases to be. Requires the state's lock.
   void log_confirmation(const char* source);
   void log_changed_routes(const routes::route_configuration& next) const;
