--- a/nutmegarch/http/client_pool.cpp
+++ b/nutmegarch/http/client_pool.cpp
@@ -20,7 +20,6 @@
 
 #include "nutmegarch/core/hash.h"
 #include "nutmegarch/http/conversion.h"
-#include "nutmegarch/http/socket_options.h"
 
 namespace nutmegarch::http {
 
@@ -186,7 +185,7 @@
       complete(client_error::unreachable, false);
       return;
     }
-    set_connection_options(stream_->socket());
+    set_connection_options(stream_->socket(), settings_.liveness);
     start_request();
   }
 
@@ -486,7 +485,7 @@
     stream->async_connect(
         address_, [self = shared_from_this(), stream, done = std::move(done)](beast::error_code error) {
           if (!error) {
-            set_connection_options(stream->socket());
+            set_connection_options(stream->socket(), self->settings_.liveness);
             const std::lock_guard<std::mutex> lock(self->mutex_);
             self->store_idle_connection(std::make_unique<beast::tcp_stream>(std::move(*stream)), {},
                                         self->settings_.idle_timeout);
--- a/nutmegarch/http/client_pool.h
+++ b/nutmegarch/http/client_pool.h
@@ -11,6 +11,7 @@
 #include "nutmegarch/core/message.h"
 #include "nutmegarch/core/result.h"
 #include "nutmegarch/core/time.h"
+#include "nutmegarch/http/socket_options.h"
 #include "nutmegarch/policy/answer_limit_checker.h"
 #include "nutmegarch/policy/buffer_budget.h"
 
@@ -43,6 +44,8 @@
   /// Maximum number of idle connections that are kept open.
   int max_idle_connections = 256;
   duration connect_timeout = std::chrono::seconds(1);
+  /// When the system breaks a connection that has fallen silent.
+  liveness_settings liveness;
   /// Maximum size of an answer's body, in bytes.
   std::size_t max_body_bytes = 1U << 20U;
   /// Limits of an answer's head and framing, and of the interim and stale answers before it.
--- a/nutmegarch/http/socket_options.cpp
+++ b/nutmegarch/http/socket_options.cpp
@@ -8,27 +8,21 @@
 
 namespace {
 
-/// Time without traffic before the first keep-alive probe.
-constexpr int keep_alive_idle_seconds = 2;
-/// Time between two keep-alive probes.
-constexpr int keep_alive_interval_seconds = 1;
-/// Number of unacknowledged probes after which the connection is broken.
-constexpr int max_keep_alive_probes = 3;
-/// The connection is broken when sent data stays unacknowledged for this long.
-constexpr unsigned user_timeout_ms = 5000;
+void set_tcp_option(boost::asio::ip::tcp::socket& socket, int name, int value) {
+  setsockopt(socket.native_handle(), IPPROTO_TCP, name, &value, sizeof(value));
+}
 
 }  // namespace
 
-void set_connection_options(boost::asio::ip::tcp::socket& socket) {
+void set_connection_options(boost::asio::ip::tcp::socket& socket, const liveness_settings& liveness) {
   // Errors are ignored: without the options the connection still works, only its loss is detected later.
   boost::system::error_code ignored;
   socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
   socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
-  const int handle = socket.native_handle();
-  setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &keep_alive_idle_seconds, sizeof(int));
-  setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &keep_alive_interval_seconds, sizeof(int));
-  setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &max_keep_alive_probes, sizeof(int));
-  setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof(unsigned));
+  set_tcp_option(socket, TCP_KEEPIDLE, static_cast<int>(liveness.probe_after.count()));
+  set_tcp_option(socket, TCP_KEEPINTVL, static_cast<int>(liveness.probe_interval.count()));
+  set_tcp_option(socket, TCP_KEEPCNT, liveness.max_probes);
+  set_tcp_option(socket, TCP_USER_TIMEOUT, static_cast<int>(liveness.user_timeout.count()));
 }
 
 }  // namespace nutmegarch::http
--- a/nutmegarch/membership/published_reader.cpp
+++ b/nutmegarch/membership/published_reader.cpp
@@ -92,6 +92,15 @@
   }
 }
 
+void published_reader::on_connection_lost(time_point now) {
+  if (was_silent_ || failures_ > 0) {
+    on_failure(now);
+    return;
+  }
+  on_silence(now);
+  next_request_time_ = now + repeat_pause();
+}
+
 void published_reader::on_peer_change(std::uint64_t revision, time_point now) {
   if (peer_revision_ <= watched_revision_ && revision > watched_revision_) {
     behind_since_ = now;
@@ -135,6 +144,10 @@
   return std::min(grown, settings_.max_gather);
 }
 
+duration published_reader::repeat_pause() {
+  return from_seconds(to_seconds(gather()) / 2 * random_.uniform());
+}
+
 duration published_reader::choose_watch() {
   const duration mean =
       std::min(settings_.watch, settings_.watch_per_node * static_cast<std::int64_t>(fleet_size_));
--- a/nutmegarch/membership/published_reader.h
+++ b/nutmegarch/membership/published_reader.h
@@ -89,6 +89,9 @@
   void on_history_lost(time_point now);
   /// The store did not answer or refused the request.
   void on_failure(time_point now);
+  /// The connection of the request in progress ended before an answer. It may have been dead for some time,
+  /// so the request is repeated almost at once, unless the one before it was abandoned as well.
+  void on_connection_lost(time_point now);
   /// A peer has learned from the store of a change of this revision.
   void on_peer_change(std::uint64_t revision, time_point now);
   /// The request in progress is abandoned because is_silent() is true. The next one is due at once.
@@ -117,6 +120,8 @@
  private:
   void on_answer(time_point now);
   duration gather() const;
+  /// Random pause before a request that all nodes of the fleet may repeat at the same moment.
+  duration repeat_pause();
   /// How long the next watch waits.
   duration choose_watch();
   void restart_listing(bool may_be_stale);
@@ -144,7 +149,7 @@
   std::uint64_t peer_revision_ = 0;
   /// Since when a peer has known a change that this node has not.
   time_point behind_since_{};
-  /// True when the request before was abandoned as silent.
+  /// True when the request before was abandoned as silent, or its connection was lost.
   bool was_silent_ = false;
   std::size_t fleet_size_ = 1;
   int failures_ = 0;
--- a/nutmegarch/node/store_synchronizer.cpp
+++ b/nutmegarch/node/store_synchronizer.cpp
@@ -158,9 +158,14 @@
                          {{"revision", std::to_string(sent_request.revision)}});
     } else {
       log_failed_call(sent_request, error, now);
-      reader_.on_failure(now);
+      if (error == membership::store_error::connection_lost) {
+        reader_.on_connection_lost(now);
+        state_.metrics.add("store_connections_lost");
+      } else {
+        reader_.on_failure(now);
+        state_.metrics.add("store_failures");
+      }
       state_.view.on_store_doubtful();
-      state_.metrics.add("store_failures");
     }
     log_confirmation("store-failure");
     const bool is_reachable = reader_.failures() == 0;
--- a/unit_tests/membership/published_state_test.cpp
+++ b/unit_tests/membership/published_state_test.cpp
@@ -296,6 +296,35 @@
   BOOST_TEST((confirming.wait < std::chrono::seconds(1)));
 }
 
+// Guards against changes that are learned late: a pause followed when the connection of a watch turned out to
+// be dead.
+BOOST_FIXTURE_TEST_CASE(lost_connection_is_replaced_almost_at_once_but_only_one_time_in_a_row, fixture) {
+  constexpr duration soon = std::chrono::milliseconds(200);
+  reader.next(start);
+  reader.on_page({entry("a", 3)}, "", 5, start);
+  const store_request watch = reader.next(start);
+  const time_point lost = start + std::chrono::seconds(2);
+  reader.on_connection_lost(lost);
+  BOOST_TEST(!reader.is_open(watch));
+  BOOST_TEST(!reader.is_current());
+  BOOST_TEST(reader.failures() == 0);
+  const store_request again = reader.next(lost + soon);
+  BOOST_TEST((again.what == store_request::kind::watch));
+  BOOST_TEST(again.revision == 5U);
+  BOOST_TEST((again.wait < std::chrono::seconds(1)));
+
+  // A store that resets each connection is not asked without a pause.
+  reader.on_connection_lost(lost + soon);
+  BOOST_TEST(reader.failures() == 1);
+  BOOST_TEST((reader.next(lost + 2 * soon).what == store_request::kind::none));
+  const time_point later = lost + std::chrono::seconds(1);
+  BOOST_TEST((reader.next(later).what == store_request::kind::watch));
+  reader.on_changes({}, 5, later);
+  reader.next(later);
+  reader.on_connection_lost(later);
+  BOOST_TEST(reader.failures() == 0);
+}
+
 // While a node gathers changes it has no watch open, and being behind its peers means nothing.
 BOOST_FIXTURE_TEST_CASE(watch_that_has_just_begun_is_not_silent, fixture) {
   const duration patience = published_reader_settings{}.silence_patience;
