Notify peers at once of changes after connections to the store were found dead

A node that had noticed its silent connection learned of the change, but its peers only by the exchange of each second, and then waited 0.6 s and asked the store. For ten seconds after it has found its connection dead, or the store away, a node now sends the position of each change that it reads to some peers at once; each node passes a notice on once, not for a change that it has or that the store has denied. A node that pauses after failures asks the store again when a peer reads a newer change.

--- a/nutmegarch/membership/gossip_schedule.cpp
+++ b/nutmegarch/membership/gossip_schedule.cpp
@@ -48,10 +48,10 @@
 }
 
 std::vector<std::string> gossip_schedule::due_for_update(time_point now) {
-  if (!has_update_ || now < next_update_) {
+  if (due_rounds_ == 0 || now < next_update_) {
     return {};
   }
-  has_update_ = false;
+  --due_rounds_;
   next_update_ = now + settings_.update_interval;
   return pick_peers();
 }
--- a/nutmegarch/membership/gossip_schedule.h
+++ b/nutmegarch/membership/gossip_schedule.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <set>
 #include <string>
 #include <vector>
@@ -18,6 +19,8 @@
   /// Shortest time between two rounds of updates. Changes in between are sent with the next round, so that a
   /// burst of changes does not cause a burst of messages.
   duration update_interval = std::chrono::milliseconds(100);
+  /// Number of rounds in which an urgent update is sent, so that hardly any peer misses it.
+  int urgent_rounds = 3;
   /// The node reads the configuration service when it has received no update from a peer or from the service
   /// for this long.
   duration silence = std::chrono::seconds(15);
@@ -54,7 +57,9 @@
   void on_exchanged(const std::string& address, bool has_answered);
 
   /// Call when this node has an update for its peers.
-  void on_local_update() { has_update_ = true; }
+  void on_local_update() { due_rounds_ = std::max(due_rounds_, 1); }
+  /// Call when this node has an update that all peers must have soon.
+  void on_urgent_update() { due_rounds_ = settings_.urgent_rounds; }
 
   /// Peers to send the update to now: `fan_out` random ones; empty when there is no update or when
   /// `update_interval` since the last round has not passed.
@@ -85,7 +90,8 @@
   time_point next_regreeting_{};
   time_point next_exchange_{};
   time_point next_update_{};
-  bool has_update_ = false;
+  /// Rounds in which updates are still to be sent.
+  int due_rounds_ = 0;
   time_point last_received_{};
   time_point next_read_{};
 };
--- a/nutmegarch/membership/published_reader.cpp
+++ b/nutmegarch/membership/published_reader.cpp
@@ -51,6 +51,9 @@
   }
   const bool changed = state_.replace(listing_, listing_revision_, now);
   watched_revision_ = listing_revision_;
+  if (now < suspicion_end_) {
+    set_notice(watched_revision_, suspicion_end_);
+  }
   // A change between two pages may concern the first one.
   is_current_ = !may_be_stale_ && newest_page_revision_ == listing_revision_;
   has_listed_ = true;
@@ -65,8 +68,12 @@
   on_answer(now);
   is_current_ = true;
   watched_revision_ = std::max(watched_revision_, revision);
-  if (sent_ >= behind_since_) {
-    peer_revision_ = std::min(peer_revision_, watched_revision_);
+  if (sent_ >= behind_since_ && peer_revision_ > watched_revision_) {
+    denied_revision_ = std::max(denied_revision_, peer_revision_);
+    peer_revision_ = watched_revision_;
+  }
+  if (now < suspicion_end_) {
+    set_notice(watched_revision_, suspicion_end_);
   }
   if (!changes.empty()) {
     next_request_time_ = now + gather();
@@ -107,12 +114,24 @@
 }
 
 void published_reader::on_peer_change(std::uint64_t revision, time_point now) {
-  if (peer_revision_ <= watched_revision_ && revision > watched_revision_) {
+  if (revision <= std::max(watched_revision_, denied_revision_)) {
+    return;
+  }
+  if (peer_revision_ <= watched_revision_) {
     behind_since_ = now;
   }
+  if (revision > peer_revision_ && failures_ > 0) {
+    next_request_time_ = std::min(next_request_time_, now + repeat_pause());
+  }
   peer_revision_ = std::max(peer_revision_, revision);
 }
 
+bool published_reader::on_notice(std::uint64_t revision, time_point now) {
+  on_peer_change(revision, now);
+  return revision > std::max(watched_revision_, denied_revision_) &&
+         set_notice(revision, now + settings_.notice_lifetime);
+}
+
 bool published_reader::is_silent(time_point now) const {
   return is_open_ && !is_listing_ && !was_silent_ && peer_revision_ > watched_revision_ &&
          now - std::max(sent_, behind_since_) >= settings_.silence_patience;
@@ -143,11 +162,23 @@
   if (failures_ > 0 && has_listed_ && now - failing_since_ >= settings_.shortest_lapse) {
     state_.on_store_recovered(now);
   }
+  if (failures_ > 0 || was_silent_) {
+    suspicion_end_ = now + settings_.suspicion;
+  }
   failures_ = 0;
   was_silent_ = false;
   is_open_ = false;
 }
 
+bool published_reader::set_notice(std::uint64_t revision, time_point end) {
+  if (revision <= notice_revision_) {
+    return false;
+  }
+  notice_revision_ = revision;
+  notice_end_ = end;
+  return true;
+}
+
 duration published_reader::gather() const {
   const double growth = static_cast<double>(fleet_size_) / settings_.gather_fleet_size;
   const duration grown = from_seconds(to_seconds(settings_.gather) * std::sqrt(std::max(1.0, growth)));
--- a/nutmegarch/membership/published_reader.h
+++ b/nutmegarch/membership/published_reader.h
@@ -64,6 +64,11 @@
   /// time. It is longer than a slow store takes for an answer, and leaves room for the exchange with the peer
   /// within the 2.5 s after which changes must be in force.
   duration silence_patience = std::chrono::milliseconds(600);
+  /// How long a node tells its peers of each change after it has found its connection to the store dead:
+  /// those of its peers may be dead as well.
+  duration suspicion = std::chrono::seconds(10);
+  /// How long a peer's notice of a change is passed on.
+  duration notice_lifetime = std::chrono::seconds(3);
 };
 
 /// Decides which request to send to the platform's store, and when. It reads a listing page by page, then
@@ -103,8 +108,12 @@
   /// The connection of the request in progress ended before an answer. It may have been dead for some time,
   /// so the request is repeated almost at once, unless the one before it was abandoned as well.
   void on_connection_lost(time_point now);
-  /// A peer has learned from the store of a change of this revision.
+  /// A peer has learned from the store of a change of this revision. A reader that pauses after failures asks
+  /// the store soon, since a peer can read it again.
   void on_peer_change(std::uint64_t revision, time_point now);
+  /// A peer has sent a notice() of this revision. Returns true if it has to be passed on: each node does so
+  /// once, and not for a change that it has or that the store has denied.
+  bool on_notice(std::uint64_t revision, time_point now);
   /// The request in progress is abandoned because is_silent() or is_overdue() is true. The next one is due at
   /// once.
   void on_silence(time_point now);
@@ -127,6 +136,10 @@
   bool is_overdue(time_point now) const;
   /// Revision of the newest change that a peer has learned from the store.
   std::uint64_t peer_revision() const { return peer_revision_; }
+  /// Revision of the newest change that peers must be told of at once, since they may wait for it on dead
+  /// connections; 0 if there is none. For some time after this node has found its own connection dead, or the
+  /// store unreachable, that is the newest change that the store has told it of; else a notice of a peer.
+  std::uint64_t notice(time_point now) const { return now < notice_end_ ? notice_revision_ : 0; }
   /// When the request in progress was sent.
   time_point sent() const { return sent_; }
   /// Number of consecutive failures.
@@ -134,6 +147,8 @@
 
  private:
   void on_answer(time_point now);
+  /// Keeps a notice of the change, until `end`. Returns true if it is newer than the notice before.
+  bool set_notice(std::uint64_t revision, time_point end);
   duration gather() const;
   /// Random pause before a request that all nodes of the fleet may repeat at the same moment.
   duration repeat_pause();
@@ -164,6 +179,12 @@
   std::uint64_t peer_revision_ = 0;
   /// Since when a peer has known a change that this node has not.
   time_point behind_since_{};
+  /// Newest revision that a peer has named and that the store did not have.
+  std::uint64_t denied_revision_ = 0;
+  std::uint64_t notice_revision_ = 0;
+  time_point notice_end_{};
+  /// Until when this node tells its peers of all changes.
+  time_point suspicion_end_{};
   /// True when the request before was abandoned as silent, or its connection was lost.
   bool was_silent_ = false;
   std::size_t fleet_size_ = 1;
--- a/nutmegarch/node/control_path.cpp
+++ b/nutmegarch/node/control_path.cpp
@@ -391,6 +391,7 @@
   const std::lock_guard<std::mutex> lock(state_.mutex);
   offer.self = {state_.settings.identity.host, state_.incarnation, state_.leaving};
   offer.store_revision = published_ ? published_->confirmed_revision() : 0;
+  offer.notice_revision = published_ ? published_->notice_revision() : 0;
   // A node that can read the store needs no documents from its peers, and large ones would fill the links.
   if (published_ && !published_->needs_peers()) {
     offer.marks = state_.crashes.gossip_marks(state_.clock.now());
@@ -425,6 +426,7 @@
   state_.gossip.on_update_received(now);
   if (published_) {
     published_->on_peer_change(from.store_revision);
+    published_->on_peer_notice(from.notice_revision);
   }
   bool has_changed = false;
   for (const membership::document& offered : from.documents) {
--- a/nutmegarch/node/node_settings.cpp
+++ b/nutmegarch/node/node_settings.cpp
@@ -50,6 +50,8 @@
   reader.read_duration("/store/watch_per_node", to.store.watch_per_node, milliseconds(10), minutes(1));
   reader.read_duration("/store/answer_patience", to.store.answer_patience, milliseconds(10), minutes(1));
   reader.read_duration("/store/confirming_watch", to.store.confirming_watch, milliseconds(1), seconds(30));
+  reader.read_duration("/store/suspicion", to.store.suspicion, milliseconds(0), minutes(10));
+  reader.read_duration("/store/notice_lifetime", to.store.notice_lifetime, milliseconds(0), minutes(1));
   reader.read_duration("/store/silence_patience", to.store.silence_patience, milliseconds(10), minutes(1));
   reader.read_duration("/view/longest_refusal", to.view.max_refusal, milliseconds(0), minutes(1));
   reader.read_duration("/view/store_patience", to.view.store_patience, milliseconds(0), minutes(1));
--- a/nutmegarch/node/store_synchronizer.cpp
+++ b/nutmegarch/node/store_synchronizer.cpp
@@ -137,6 +137,7 @@
       }
       has_changed = extract_configuration(items);
       const bool is_page = sent_request.what == membership::store_request::kind::read_page;
+      const std::uint64_t previous_notice = notice_revision();
       const bool hosts_changed = is_page ? reader_.on_page(items, answer.next_key, answer.revision, now)
                                          : reader_.on_changes(items, answer.revision, now);
       if (hosts_changed) {
@@ -145,6 +146,11 @@
       } else {
         update_hosts_document();
       }
+      if (notice_revision() > previous_notice) {
+        state_.gossip.on_urgent_update();
+        observe::log_event(observe::log_level::info, "store-notice",
+                           {{"from", "store"}, {"revision", std::to_string(notice_revision())}});
+      }
       state_.revalidating_until = time_point{};
       if (reader_.is_current()) {
         state_.view.on_store_answer(now);
@@ -209,6 +215,18 @@
   state_.view.on_peer_view(state_.clock.now());
 }
 
+void store_synchronizer::on_peer_notice(std::uint64_t revision) {
+  if (!reader_.on_notice(revision, state_.clock.now())) {
+    return;
+  }
+  state_.gossip.on_urgent_update();
+  state_.metrics.add("store_notices_passed_on");
+  observe::log_event(observe::log_level::info, "store-notice",
+                     {{"from", "peer"},
+                      {"revision", std::to_string(revision)},
+                      {"held", std::to_string(store_copy_.revision())}});
+}
+
 bool store_synchronizer::abandon_silent_watch(time_point now) {
   const bool is_silent = reader_.is_silent(now);
   if (!is_silent && !reader_.is_overdue(now)) {
--- a/nutmegarch/node/store_synchronizer.h
+++ b/nutmegarch/node/store_synchronizer.h
@@ -37,6 +37,10 @@
   std::uint64_t confirmed_revision() const { return state_.view.is_confirmed() ? newest_change_ : 0; }
   /// A peer has learned from the store of a change of this revision. Requires the state's lock.
   void on_peer_change(std::uint64_t revision) { reader_.on_peer_change(revision, state_.clock.now()); }
+  /// Revision of the change that peers must be told of at once; 0 if there is none. Requires the state's lock.
+  std::uint64_t notice_revision() const { return reader_.notice(state_.clock.now()); }
+  /// A peer has sent its notice_revision(). Requires the state's lock.
+  void on_peer_notice(std::uint64_t revision);
   /// A peer has sent all documents that this node lacks. `revision` is its confirmed_revision(). Requires the
   /// state's lock.
   void on_peer_view(std::uint64_t revision);
--- a/nutmegarch/protocol/codec.cpp
+++ b/nutmegarch/protocol/codec.cpp
@@ -205,6 +205,7 @@
   to.setLeaving(from.self.leaving);
   to.setStamp(from.stamp);
   to.setStoreRevision(from.store_revision);
+  to.setNoticeRevision(from.notice_revision);
   capnp::List<wire::DocumentStamp>::Builder digest = to.initDigest(static_cast<unsigned>(from.digest.size()));
   for (std::size_t i = 0; i < from.digest.size(); ++i) {
     write_stamp(from.digest.at(i), digest[static_cast<unsigned>(i)]);
@@ -229,6 +230,7 @@
   exchange.self = {to_text(from.getHost()), from.getIncarnation(), from.getLeaving()};
   exchange.stamp = from.getStamp();
   exchange.store_revision = from.getStoreRevision();
+  exchange.notice_revision = from.getNoticeRevision();
   for (const wire::DocumentStamp::Reader stamp : from.getDigest()) {
     exchange.digest.push_back(read_stamp(stamp));
   }
--- a/nutmegarch/protocol/peer.capnp
+++ b/nutmegarch/protocol/peer.capnp
@@ -114,6 +114,8 @@
   # Revision of the newest change that the platform's store has told the sender of; 0 if the store does not
   # confirm the sender's view now.
   storeRevision @7 :UInt64;
+  # Revision of a change that peers may wait for on dead connections to the store; 0 if there is none.
+  noticeRevision @8 :UInt64;
 }
 
 interface Peer {
--- a/nutmegarch/protocol/peer.capnp.h
+++ b/nutmegarch/protocol/peer.capnp.h
@@ -191,7 +191,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f03d1315d37be1ff, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f03d1315d37be1ff, 5, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1455,6 +1455,8 @@
 
   inline  ::uint64_t getStoreRevision() const;
 
+  inline  ::uint64_t getNoticeRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1523,6 +1525,9 @@
   inline  ::uint64_t getStoreRevision();
   inline void setStoreRevision( ::uint64_t value);
 
+  inline  ::uint64_t getNoticeRevision();
+  inline void setNoticeRevision( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3866,6 +3871,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Exchange::Reader::getNoticeRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Exchange::Builder::getNoticeRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Exchange::Builder::setNoticeRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/nutmegarch/protocol/peer_messages.h
+++ b/nutmegarch/protocol/peer_messages.h
@@ -61,6 +61,8 @@
   /// Revision of the newest change that the platform's store has told the sender of; 0 if the store does not
   /// confirm the sender's view now.
   std::uint64_t store_revision = 0;
+  /// Revision of a change that peers may wait for on dead connections to the store; 0 if there is none.
+  std::uint64_t notice_revision = 0;
 };
 
 /// Errors of the protocol between nodes.
--- a/unit_tests/membership/published_state_test.cpp
+++ b/unit_tests/membership/published_state_test.cpp
@@ -397,6 +397,72 @@
   }
 }
 
+// Guards against changes that peers miss on dead connections: only a regular exchange told them.
+BOOST_FIXTURE_TEST_CASE(peers_are_notified_of_changes_after_a_silence_and_not_before, fixture) {
+  reader.next(start);
+  reader.on_page({entry("a", 3)}, "", 5, start);
+  reader.next(start);
+  reader.on_changes({entry("a", 6)}, 6, start);
+  BOOST_TEST(reader.notice(start) == 0U);
+
+  const time_point silent = start + std::chrono::seconds(1);
+  reader.next(silent);
+  reader.on_silence(silent);
+  reader.next(silent);
+  BOOST_TEST(reader.notice(silent) == 0U);
+  reader.on_changes({entry("a", 7)}, 7, silent);
+  BOOST_TEST(reader.notice(silent) == 7U);
+  const time_point later = silent + std::chrono::seconds(2);
+  reader.next(later);
+  reader.on_changes({entry("a", 8)}, 8, later);
+  BOOST_TEST(reader.notice(later) == 8U);
+  BOOST_TEST(reader.notice(silent + published_reader_settings{}.suspicion) == 0U);
+}
+
+// Guards against notices that circulate for ever, each time with calls to the store.
+BOOST_FIXTURE_TEST_CASE(notice_is_passed_on_once_and_not_after_the_store_denied_it, fixture) {
+  reader.next(start);
+  reader.on_page({entry("a", 3)}, "", 5, start);
+  reader.next(start);
+  BOOST_TEST(!reader.on_notice(5, start));
+  BOOST_TEST(reader.on_notice(6, start));
+  BOOST_TEST(reader.notice(start) == 6U);
+  BOOST_TEST(!reader.on_notice(6, start));
+  BOOST_TEST(reader.on_notice(9, start));
+  const time_point silent = start + published_reader_settings{}.silence_patience;
+  BOOST_REQUIRE(reader.is_silent(silent));
+  reader.on_silence(silent);
+  reader.next(silent);
+  reader.on_changes({entry("a", 7)}, 7, silent);
+  reader.next(silent);
+  for (const std::uint64_t revision : {6U, 8U, 9U}) {
+    BOOST_TEST(!reader.on_notice(revision, silent));
+    BOOST_TEST(!reader.is_silent(silent + std::chrono::hours(1)));
+  }
+  BOOST_TEST(reader.on_notice(10, silent));
+}
+
+// Guards against changes right after an outage that a node misses during its pause.
+BOOST_FIXTURE_TEST_CASE(pause_after_failures_ends_when_a_peer_reads_newer_changes, fixture) {
+  constexpr duration soon = std::chrono::milliseconds(200);
+  reader.next(start);
+  reader.on_page({entry("a", 3)}, "", 5, start);
+  time_point now = start;
+  for (int i = 0; i < 6; ++i) {
+    now += std::chrono::seconds(10);
+    reader.next(now);
+    reader.on_failure(now);
+  }
+  reader.on_peer_change(5, now);
+  BOOST_TEST((reader.next(now + soon).what == store_request::kind::none));
+  reader.on_peer_change(6, now + soon);
+  BOOST_TEST((reader.next(now + 2 * soon).what == store_request::kind::watch));
+  // The store may still turn this node away: the same news ends no further pause.
+  reader.on_failure(now + 2 * soon);
+  reader.on_peer_change(6, now + 2 * soon);
+  BOOST_TEST((reader.next(now + 3 * soon).what == store_request::kind::none));
+}
+
 // Guards against connections that went silent at all nodes: a watch was given up two seconds after its own
 // end.
 BOOST_FIXTURE_TEST_CASE(watch_without_an_answer_after_its_end_is_abandoned, fixture) {
