--- a/nutmegarch/membership/document_table.cpp
+++ b/nutmegarch/membership/document_table.cpp
@@ -5,8 +5,8 @@
 namespace nutmegarch::membership {
 
 bool is_newer(const document_stamp& left, const document_stamp& right) {
-  return std::tie(left.version, left.revision, left.hash) >
-         std::tie(right.version, right.revision, right.hash);
+  return std::tie(left.version, left.position, left.hash) >
+         std::tie(right.version, right.position, right.hash);
 }
 
 bool document_table::merge(const document& offered) {
--- a/nutmegarch/membership/document_table.h
+++ b/nutmegarch/membership/document_table.h
@@ -6,14 +6,16 @@
 #include <string>
 #include <vector>
 
+#include "nutmegarch/membership/store_position.h"
+
 namespace nutmegarch::membership {
 
-/// Key and version of a published value. Version, revision and hash are compared in this order; larger is
+/// Key and version of a published value. Version, position and hash are compared in this order; larger is
 /// newer.
 struct document_stamp {
   std::string key;
   std::uint64_t version = 0;
-  std::uint64_t revision = 0;
+  store_position position;
   std::uint64_t hash = 0;
 };
 
@@ -48,7 +50,7 @@
   std::size_t size_in_bytes() const;
 
   /// Stamp for requesting a document that is not stored yet. It is older than any document.
-  static document_stamp missing_stamp(const std::string& key) { return {key, 0, 0, 0}; }
+  static document_stamp missing_stamp(const std::string& key) { return {key, 0, {}, 0}; }
 
  private:
   std::map<std::string, document> documents_;
--- a/nutmegarch/membership/host_list.cpp
+++ b/nutmegarch/membership/host_list.cpp
@@ -44,8 +44,8 @@
     auto known = newest.find(host.address);
     if (known == newest.end()) {
       newest.emplace(host.address, std::move(host));
-    } else if (std::tie(host.process_started_ms, host.revision) >
-               std::tie(known->second.process_started_ms, known->second.revision)) {
+    } else if (std::tie(host.process_started_ms, host.position) >
+               std::tie(known->second.process_started_ms, known->second.position)) {
       known->second = std::move(host);
     }
   }
--- a/nutmegarch/membership/host_list.h
+++ b/nutmegarch/membership/host_list.h
@@ -5,6 +5,7 @@
 
 #include "nutmegarch/core/result.h"
 #include "nutmegarch/core/time.h"
+#include "nutmegarch/membership/store_position.h"
 
 namespace nutmegarch::membership {
 
@@ -28,8 +29,8 @@
   std::int64_t process_started_ms = 0;
   /// Time left until the target has warmed up after its start.
   duration cold_remaining{};
-  /// Revision of the platform's store that wrote the entry; 0 when unknown.
-  std::uint64_t revision = 0;
+  /// Position of the platform's store that wrote the entry; not known if the store does not tell it.
+  store_position position;
 };
 
 /// The hosts of one service. Published as JSON under the key "hosts/SERVICE":
--- a/nutmegarch/membership/published_reader.cpp
+++ b/nutmegarch/membership/published_reader.cpp
@@ -30,7 +30,7 @@
     request.may_be_stale = may_be_stale_;
   } else {
     request.what = store_request::kind::watch;
-    request.revision = watched_revision_;
+    request.position = watched_position_;
     request.wait = is_current_ ? choose_watch() : settings_.confirming_watch;
     watch_length_ = request.wait;
   }
@@ -38,52 +38,62 @@
 }
 
 bool published_reader::on_page(const std::vector<published_item>& items, const std::string& next_key,
-                               std::uint64_t revision, time_point now) {
-  assert(is_listing_);
+                               const store_position& position, time_point now) {
+  assert(is_listing_ && (after_key_.empty() || position.era == listing_position_.era));
   on_answer(now);
-  // The pages are read at different revisions. Watching from the lowest one misses no change.
-  listing_revision_ = after_key_.empty() ? revision : std::min(listing_revision_, revision);
-  newest_page_revision_ = std::max(newest_page_revision_, revision);
+  newest_era_ = position.era;
+  // The pages are read at different positions. Watching from the lowest one misses no change.
+  listing_position_ = after_key_.empty() ? position : std::min(listing_position_, position);
+  newest_page_position_ = std::max(newest_page_position_, position);
   listing_.insert(listing_.end(), items.begin(), items.end());
   if (!next_key.empty()) {
     after_key_ = next_key;
     return false;
   }
-  const bool changed = state_.replace(listing_, listing_revision_, now);
-  watched_revision_ = listing_revision_;
+  const bool changed = state_.replace(listing_, listing_position_, now);
+  watched_position_ = listing_position_;
   if (now < suspicion_end_) {
-    set_notice(watched_revision_, suspicion_end_);
+    set_notice(watched_position_, suspicion_end_);
   }
   // A change between two pages may concern the first one.
-  is_current_ = !may_be_stale_ && newest_page_revision_ == listing_revision_;
+  is_current_ = !may_be_stale_ && newest_page_position_ == listing_position_;
   has_listed_ = true;
   restart_listing(false);
   is_listing_ = false;
   return changed;
 }
 
-bool published_reader::on_changes(const std::vector<published_item>& changes, std::uint64_t revision,
+bool published_reader::on_changes(const std::vector<published_item>& changes, const store_position& position,
                                   time_point now) {
   has_watch_ended_ = changes.empty() && is_current_;
+  assert(!starts_era(position));
   on_answer(now);
   is_current_ = true;
-  watched_revision_ = std::max(watched_revision_, revision);
-  if (sent_ >= behind_since_ && peer_revision_ > watched_revision_) {
-    denied_revision_ = std::max(denied_revision_, peer_revision_);
-    peer_revision_ = watched_revision_;
+  watched_position_ = std::max(watched_position_, position);
+  if (sent_ >= behind_since_ && peer_position_ > watched_position_) {
+    denied_position_ = std::max(denied_position_, peer_position_);
+    peer_position_ = watched_position_;
   }
   if (now < suspicion_end_) {
-    set_notice(watched_revision_, suspicion_end_);
+    set_notice(watched_position_, suspicion_end_);
   }
   if (!changes.empty()) {
     next_request_time_ = now + gather();
   }
-  return state_.apply(changes, revision, now);
+  return state_.apply(changes, position, now);
+}
+
+bool published_reader::starts_era(const store_position& position) const {
+  if (is_listing_) {
+    return !after_key_.empty() && position.era > listing_position_.era;
+  }
+  return position.era > watched_position_.era;
 }
 
 void published_reader::on_history_lost(time_point now) {
   on_answer(now);
   is_current_ = false;
+  next_request_time_ = now + repeat_pause();
   // A stale listing may be older than the oldest change that the store still has.
   restart_listing(false);
 }
@@ -113,27 +123,27 @@
   next_request_time_ = now + repeat_pause();
 }
 
-void published_reader::on_peer_change(std::uint64_t revision, time_point now) {
-  if (revision <= std::max(watched_revision_, denied_revision_)) {
+void published_reader::on_peer_change(const store_position& position, time_point now) {
+  if (position <= std::max(watched_position_, denied_position_)) {
     return;
   }
-  if (peer_revision_ <= watched_revision_) {
+  if (peer_position_ <= watched_position_) {
     behind_since_ = now;
   }
-  if (revision > peer_revision_ && failures_ > 0) {
+  if (position > peer_position_ && failures_ > 0) {
     next_request_time_ = std::min(next_request_time_, now + repeat_pause());
   }
-  peer_revision_ = std::max(peer_revision_, revision);
+  peer_position_ = std::max(peer_position_, position);
 }
 
-bool published_reader::on_notice(std::uint64_t revision, time_point now) {
-  on_peer_change(revision, now);
-  return revision > std::max(watched_revision_, denied_revision_) &&
-         set_notice(revision, now + settings_.notice_lifetime);
+bool published_reader::on_notice(const store_position& position, time_point now) {
+  on_peer_change(position, now);
+  return position > std::max(watched_position_, denied_position_) &&
+         set_notice(position, now + settings_.notice_lifetime);
 }
 
 bool published_reader::is_silent(time_point now) const {
-  return is_open_ && !is_listing_ && !was_silent_ && peer_revision_ > watched_revision_ &&
+  return is_open_ && !is_listing_ && !was_silent_ && peer_position_ > watched_position_ &&
          now - std::max(sent_, behind_since_) >= settings_.silence_patience;
 }
 
@@ -170,11 +180,11 @@
   is_open_ = false;
 }
 
-bool published_reader::set_notice(std::uint64_t revision, time_point end) {
-  if (revision <= notice_revision_) {
+bool published_reader::set_notice(const store_position& position, time_point end) {
+  if (position <= notice_position_) {
     return false;
   }
-  notice_revision_ = revision;
+  notice_position_ = position;
   notice_end_ = end;
   return true;
 }
@@ -195,7 +205,7 @@
   std::size_t steps = fleet_size_;
   if (!has_watch_ended_) {
     // All nodes begin anew with each change. The revision changes who is the first one.
-    const std::size_t place = place_ ? *place_ + watched_revision_ : random_.below(fleet_size_);
+    const std::size_t place = place_ ? *place_ + watched_position_.revision : random_.below(fleet_size_);
     steps = 1 + place % fleet_size_;
   }
   // The jitter keeps nodes whose places changed from ending together for ever.
@@ -208,8 +218,8 @@
   is_listing_ = true;
   may_be_stale_ = may_be_stale;
   listing_.clear();
-  listing_revision_ = 0;
-  newest_page_revision_ = 0;
+  listing_position_ = {};
+  newest_page_position_ = {};
   after_key_.clear();
 }
 
--- a/nutmegarch/membership/published_reader.h
+++ b/nutmegarch/membership/published_reader.h
@@ -17,7 +17,7 @@
     none,
     /// Reads one page of the listing, starting with the first key after `after_key`.
     read_page,
-    /// Waits for changes after `revision`. The store answers when there is one, or after `wait`.
+    /// Waits for changes after `position`. The store answers when there is one, or after `wait`.
     watch
   };
 
@@ -26,7 +26,7 @@
   /// answer to another one.
   std::uint64_t request_id = 0;
   std::string after_key;
-  std::uint64_t revision = 0;
+  store_position position;
   duration wait{};
   /// Allows the store to return a page that is some seconds old, which costs it less.
   bool may_be_stale = false;
@@ -95,25 +95,27 @@
   /// @name Events
   /// on_page() and on_changes() return true when an entry has changed.
   /// @{
-  /// A page of the listing was received. The next page begins after `next_key`, which is empty after the last
-  /// page.
-  bool on_page(const std::vector<published_item>& items, const std::string& next_key, std::uint64_t revision,
-               time_point now);
-  /// A watch has ended, with or without changes, at `revision` of the store.
-  bool on_changes(const std::vector<published_item>& changes, std::uint64_t revision, time_point now);
-  /// The store no longer has the changes after the requested revision.
+  /// A page of the listing was received, which neither starts_era() nor is_outdated(). The next page begins
+  /// after `next_key`, which is empty after the last page.
+  bool on_page(const std::vector<published_item>& items, const std::string& next_key,
+               const store_position& position, time_point now);
+  /// A watch has ended, with or without changes that neither start an era nor are outdated, at `position` of
+  /// the store.
+  bool on_changes(const std::vector<published_item>& changes, const store_position& position, time_point now);
+  /// The store no longer has the changes after the requested position, or the answer starts_era(): the
+  /// listing is read anew.
   void on_history_lost(time_point now);
   /// The store did not answer or refused the request.
   void on_failure(time_point now);
   /// The connection of the request in progress ended before an answer. It may have been dead for some time,
   /// so the request is repeated almost at once, unless the one before it was abandoned as well.
   void on_connection_lost(time_point now);
-  /// A peer has learned from the store of a change of this revision. A reader that pauses after failures asks
+  /// A peer has learned from the store of a change at this position. A reader that pauses after failures asks
   /// the store soon, since a peer can read it again.
-  void on_peer_change(std::uint64_t revision, time_point now);
-  /// A peer has sent a notice() of this revision. Returns true if it has to be passed on: each node does so
+  void on_peer_change(const store_position& position, time_point now);
+  /// A peer has sent a notice() of this position. Returns true if it has to be passed on: each node does so
   /// once, and not for a change that it has or that the store has denied.
-  bool on_notice(std::uint64_t revision, time_point now);
+  bool on_notice(const store_position& position, time_point now);
   /// The request in progress is abandoned because is_silent() or is_overdue() is true. The next one is due at
   /// once.
   void on_silence(time_point now);
@@ -121,6 +123,14 @@
   void on_pause();
   /// @}
 
+  /// True if an answer read at this position belongs to a newer era than the listing in progress or the
+  /// watch. It must not be joined with what was read before: call on_history_lost().
+  bool starts_era(const store_position& position) const;
+  /// True if an answer read at this position belongs to an older era than an earlier one or than the copy,
+  /// which peers may have told of it, or names none: it is late or stale, and counts as a failure.
+  bool is_outdated(const store_position& position) const {
+    return position.era < std::max(newest_era_, state_.position().era);
+  }
   /// True when the store's last answer was not stale and no failure, loss of history or pause came after it.
   bool is_current() const { return is_current_; }
   /// True when the request is the one in progress.
@@ -134,12 +144,15 @@
   /// True when the watch in progress should have ended by itself. The same holds for its connection and for
   /// the watch after it.
   bool is_overdue(time_point now) const;
-  /// Revision of the newest change that a peer has learned from the store.
-  std::uint64_t peer_revision() const { return peer_revision_; }
-  /// Revision of the newest change that peers must be told of at once, since they may wait for it on dead
-  /// connections; 0 if there is none. For some time after this node has found its own connection dead, or the
-  /// store unreachable, that is the newest change that the store has told it of; else a notice of a peer.
-  std::uint64_t notice(time_point now) const { return now < notice_end_ ? notice_revision_ : 0; }
+  /// Position of the newest change that a peer has learned from the store.
+  const store_position& peer_position() const { return peer_position_; }
+  /// Position of the newest change that peers must be told of at once, since they may wait for it on dead
+  /// connections; not known if there is none. For some time after this node has found its own connection
+  /// dead, or the store unreachable, that is the newest change that the store has told it of; else a notice
+  /// of a peer.
+  store_position notice(time_point now) const {
+    return now < notice_end_ ? notice_position_ : store_position();
+  }
   /// When the request in progress was sent.
   time_point sent() const { return sent_; }
   /// Number of consecutive failures.
@@ -148,7 +161,7 @@
  private:
   void on_answer(time_point now);
   /// Keeps a notice of the change, until `end`. Returns true if it is newer than the notice before.
-  bool set_notice(std::uint64_t revision, time_point end);
+  bool set_notice(const store_position& position, time_point end);
   duration gather() const;
   /// Random pause before a request that all nodes of the fleet may repeat at the same moment.
   duration repeat_pause();
@@ -167,21 +180,23 @@
   bool may_be_stale_ = false;
   bool has_listed_ = false;
   bool is_current_ = false;
-  /// Items of the pages received so far, and the lowest and highest revisions at which a page was read.
+  /// Items of the pages received so far, and the lowest and highest positions at which a page was read.
   std::vector<published_item> listing_;
-  std::uint64_t listing_revision_ = 0;
-  std::uint64_t newest_page_revision_ = 0;
+  store_position listing_position_;
+  store_position newest_page_position_;
   std::string after_key_;
-  /// Revision after which the next watch returns changes.
-  std::uint64_t watched_revision_ = 0;
+  /// Position after which the next watch returns changes.
+  store_position watched_position_;
   time_point next_request_time_{};
   time_point sent_{};
-  std::uint64_t peer_revision_ = 0;
+  /// Newest era of an answer.
+  std::uint64_t newest_era_ = 0;
+  store_position peer_position_;
   /// Since when a peer has known a change that this node has not.
   time_point behind_since_{};
-  /// Newest revision that a peer has named and that the store did not have.
-  std::uint64_t denied_revision_ = 0;
-  std::uint64_t notice_revision_ = 0;
+  /// Newest position that a peer has named and that the store did not have.
+  store_position denied_position_;
+  store_position notice_position_;
   time_point notice_end_{};
   /// Until when this node tells its peers of all changes.
   time_point suspicion_end_{};
--- a/nutmegarch/membership/published_source.cpp
+++ b/nutmegarch/membership/published_source.cpp
@@ -12,6 +12,8 @@
       return "timed-out";
     case store_error::refused:
       return "refused";
+    case store_error::era_invalid:
+      return "era-invalid";
     case store_error::history_lost:
       return "history-lost";
   }
--- a/nutmegarch/membership/published_source.h
+++ b/nutmegarch/membership/published_source.h
@@ -17,8 +17,8 @@
   std::vector<published_item> items;
   /// Key after which the next page begins; empty after the last page.
   std::string next_key;
-  /// Revision of the store at which the items were read.
-  std::uint64_t revision = 0;
+  /// Position of the store at which the items were read. Its era is 0 if the store did not name one.
+  store_position position;
 };
 
 /// Errors of a request to the platform's store.
@@ -31,6 +31,8 @@
   timed_out,
   /// The store rejected the request or did not process it.
   refused,
+  /// The answer names no valid era.
+  era_invalid,
   /// The store no longer has the changes after the requested revision.
   history_lost
 };
--- a/nutmegarch/node/admin_api.cpp
+++ b/nutmegarch/node/admin_api.cpp
@@ -119,6 +119,7 @@
       const time_point now = state_.clock.now();
       gauges["view_confirmed"] = state_.view.is_confirmed() ? 1 : 0;
       gauges["view_age_seconds"] = to_seconds(now - state_.view.last_confirmed());
+      gauges["store_era"] = static_cast<double>(state_.store_position.era);
       gauges["configuration_version"] = static_cast<double>(state_.configuration_version());
     }
   }
@@ -160,6 +161,9 @@
                                               {"level", state_.receiver.level().cutoff},
                                               {"live_tickets", state_.orders.live_tickets(now)},
                                               {"peers", state_.gossip.peers().size()},
+                                              {"store_era", state_.store_position.era},
+                                              {"store_revision", state_.store_position.revision},
+                                              {"configuration_version", state_.configuration_version()},
                                               {"endpoints", endpoints}});
 }
 
--- a/nutmegarch/node/control_path.cpp
+++ b/nutmegarch/node/control_path.cpp
@@ -212,7 +212,7 @@
       return;
     }
     const membership::document* const current = state_.documents.find(key);
-    revision = current == nullptr ? 0 : current->stamp.revision;
+    revision = current == nullptr ? 0 : current->stamp.position.revision;
   }
   state_.metrics.add("configuration_reads");
   configuration_.watch(
@@ -286,7 +286,7 @@
     case rules::rules_verdict::kind::accepted:
       break;
   }
-  state_.documents.merge({{rules_key, order.version, order.revision, order.hash}, body});
+  state_.documents.merge({{rules_key, order.version, {0, order.revision}, order.hash}, body});
   state_.enforcer.reset();
   state_.rule_match_counts.clear();
   state_.rules_since = std::chrono::system_clock::now();
@@ -308,7 +308,7 @@
     return false;
   }
   const membership::host_list& list = std::get<membership::host_list>(parsed);
-  if (!state_.documents.merge({{key, list.revision, revision, hash_text(body)}, body})) {
+  if (!state_.documents.merge({{key, list.revision, {0, revision}, hash_text(body)}, body})) {
     return false;
   }
   const std::string service = key.substr(std::string(hosts_prefix).size());
@@ -371,7 +371,7 @@
     missing_documents = state_.documents.newer_than(reply.digest);
     state_.revalidating_until = time_point{};
     if (published_ && sent_digest) {
-      published_->on_peer_view(reply.store_revision);
+      published_->on_peer_view(reply.confirmed);
     }
   }
   if (has_changed) {
@@ -390,8 +390,11 @@
   protocol::peer_exchange offer;
   const std::lock_guard<std::mutex> lock(state_.mutex);
   offer.self = {state_.settings.identity.host, state_.incarnation, state_.leaving};
-  offer.store_revision = published_ ? published_->confirmed_revision() : 0;
-  offer.notice_revision = published_ ? published_->notice_revision() : 0;
+  if (published_) {
+    offer.confirmed = published_->confirmed();
+    offer.notice = published_->notice();
+    offer.configuration_version = state_.configuration_version();
+  }
   // A node that can read the store needs no documents from its peers, and large ones would fill the links.
   if (published_ && !published_->needs_peers()) {
     offer.marks = state_.crashes.gossip_marks(state_.clock.now());
@@ -425,14 +428,16 @@
   state_.endpoints.on_report(from.self);
   state_.gossip.on_update_received(now);
   if (published_) {
-    published_->on_peer_change(from.store_revision);
-    published_->on_peer_notice(from.notice_revision);
+    published_->on_peer_change(from.confirmed);
+    published_->on_peer_notice(from.notice);
+    published_->on_peer_version(from.configuration_version);
   }
   bool has_changed = false;
   for (const membership::document& offered : from.documents) {
-    has_changed = (published_ ? published_->accept_document(offered)
-                              : accept_document(offered.stamp.key, offered.stamp.revision, offered.body)) ||
-                  has_changed;
+    has_changed =
+        (published_ ? published_->accept_document(offered)
+                    : accept_document(offered.stamp.key, offered.stamp.position.revision, offered.body)) ||
+        has_changed;
   }
   for (const policy::crash_mark& mark : from.marks) {
     if (state_.crashes.merge(mark, now)) {
--- a/nutmegarch/node/node_settings.cpp
+++ b/nutmegarch/node/node_settings.cpp
@@ -58,6 +58,9 @@
   reader.read_duration("/store/gather", to.store.gather, milliseconds(0), seconds(10));
   reader.read_duration("/store/first_pause", to.store.first_pause, milliseconds(10), minutes(1));
   reader.read_duration("/store/longest_pause", to.store.longest_pause, milliseconds(10), minutes(1));
+  reader.read_duration("/store/configuration_patience", to.configuration_lag.patience, milliseconds(0),
+                       minutes(1));
+  reader.read_duration("/store/proof_time", to.published.proof_time, milliseconds(0), minutes(1));
   reader.read_duration("/store/lapse_grace", to.published.lapse_grace, milliseconds(0), minutes(1));
   reader.read_number("/fleet_retries/ratio", to.fleet_retries.ratio, 0, 1);
   reader.read_number("/fleet_retries/slack", to.fleet_retries.slack, 0, 1e6);
--- a/nutmegarch/node/node_settings.h
+++ b/nutmegarch/node/node_settings.h
@@ -9,6 +9,7 @@
 #include "nutmegarch/http/server.h"
 #include "nutmegarch/membership/gossip_schedule.h"
 #include "nutmegarch/membership/published_reader.h"
+#include "nutmegarch/membership/version_lag.h"
 #include "nutmegarch/membership/view_confirmation.h"
 #include "nutmegarch/observe/log.h"
 #include "nutmegarch/policy/crash_registry.h"
@@ -119,6 +120,7 @@
   protocol::peer_network_settings peers;
   membership::published_state_settings published;
   membership::published_reader_settings store;
+  membership::version_lag_settings configuration_lag;
   membership::view_confirmation_settings view;
   fleet_retry_settings fleet_retries;
   fleet_link_settings fleet_link;
--- a/nutmegarch/node/node_state.h
+++ b/nutmegarch/node/node_state.h
@@ -8,6 +8,7 @@
 #include "nutmegarch/membership/document_table.h"
 #include "nutmegarch/membership/endpoint_table.h"
 #include "nutmegarch/membership/gossip_schedule.h"
+#include "nutmegarch/membership/store_position.h"
 #include "nutmegarch/membership/view_confirmation.h"
 #include "nutmegarch/node/edge_dialect.h"
 #include "nutmegarch/node/node_settings.h"
@@ -63,6 +64,8 @@
   std::shared_ptr<const routes::route_table> routes;
   /// Whether the copy of the platform's store may be used.
   membership::view_confirmation view;
+  /// Where the copy of the platform's store stands.
+  membership::store_position store_position;
   routes::weighted_round_robin splits;
   request_log requests;
   policy::inner_route_detector inner_routes;
--- a/nutmegarch/node/store_synchronizer.cpp
+++ b/nutmegarch/node/store_synchronizer.cpp
@@ -30,16 +30,19 @@
 
 std::string port_part(const std::string& address) { return address.substr(address.rfind(':') + 1); }
 
-std::string serialize_items(const std::map<std::string, membership::published_item>& items) {
+/// Items of an earlier era get the revision 0, so that any later one of this era replaces them.
+std::string serialize_items(const std::map<std::string, membership::published_item>& items,
+                            std::uint64_t era) {
   boost::json::array list;
   for (const std::pair<const std::string, membership::published_item>& entry : items) {
-    list.push_back({entry.second.key, entry.second.revision, entry.second.value});
+    const membership::published_item& item = entry.second;
+    list.push_back({item.key, item.position.era == era ? item.position.revision : 0, item.value});
   }
   return boost::json::serialize(list);
 }
 
-/// Parses the items of a peer's document; returns an empty list when it is malformed.
-std::vector<membership::published_item> parse_items(const std::string& body) {
+/// Parses the items of a peer's document of this era; returns an empty list when it is malformed.
+std::vector<membership::published_item> parse_items(const std::string& body, std::uint64_t era) {
   // The values of entries are any bytes. serialize_items() writes them as they are.
   boost::json::parse_options options;
   options.allow_invalid_utf8 = true;
@@ -61,8 +64,10 @@
     if (error) {
       return {};
     }
-    items.push_back(
-        {std::string(parts.at(0).get_string()), std::string(parts.at(2).get_string()), revision, false});
+    items.push_back({std::string(parts.at(0).get_string()),
+                     std::string(parts.at(2).get_string()),
+                     {era, revision},
+                     false});
   }
   return items;
 }
@@ -75,6 +80,7 @@
       source_(std::move(source)),
       store_copy_(state.settings.published),
       reader_(state.settings.store, store_copy_, state.random),
+      lag_(state.settings.configuration_lag),
       peer_port_(port_part(state.settings.listen.peers)) {
   const std::lock_guard<std::mutex> lock(state_.mutex);
   state_.view.on_start(state_.clock.now());
@@ -130,38 +136,22 @@
     }
     if (succeeded(outcome)) {
       const membership::store_answer& answer = std::get<membership::store_answer>(outcome);
-      std::vector<membership::published_item> items = answer.items;
-      state_.gossip.on_update_received(now);
-      for (const membership::published_item& item : items) {
-        newest_change_ = std::max(newest_change_, item.revision);
-      }
-      has_changed = extract_configuration(items);
-      const bool is_page = sent_request.what == membership::store_request::kind::read_page;
-      const std::uint64_t previous_notice = notice_revision();
-      const bool hosts_changed = is_page ? reader_.on_page(items, answer.next_key, answer.revision, now)
-                                         : reader_.on_changes(items, answer.revision, now);
-      if (hosts_changed) {
-        apply_hosts("store");
-        has_changed = true;
+      log_era(answer.position.era);
+      if (reader_.is_outdated(answer.position)) {
+        refuse_outdated_answer(answer.position, now);
+      } else if (reader_.starts_era(answer.position)) {
+        reader_.on_history_lost(now);
+        state_.view.on_store_doubtful();
       } else {
-        update_hosts_document();
-      }
-      if (notice_revision() > previous_notice) {
-        state_.gossip.on_urgent_update();
-        observe::log_event(observe::log_level::info, "store-notice",
-                           {{"from", "store"}, {"revision", std::to_string(notice_revision())}});
+        has_changed = apply_answer(sent_request, answer, now);
       }
-      state_.revalidating_until = time_point{};
-      if (reader_.is_current()) {
-        state_.view.on_store_answer(now);
-      }
-      log_confirmation(is_page ? "listing" : "watch");
     } else if (const membership::store_error error = std::get<membership::store_error>(outcome);
                error == membership::store_error::history_lost) {
       reader_.on_history_lost(now);
       state_.view.on_store_doubtful();
       observe::log_event(observe::log_level::info, "store-history-lost",
-                         {{"revision", std::to_string(sent_request.revision)}});
+                         {{"revision", std::to_string(sent_request.position.revision)},
+                          {"era", std::to_string(sent_request.position.era)}});
     } else {
       log_failed_call(sent_request, error, now);
       if (error == membership::store_error::connection_lost) {
@@ -178,7 +168,7 @@
     if (is_reachable != is_store_reachable_) {
       is_store_reachable_ = is_reachable;
       observe::log_event(observe::log_level::warning, is_reachable ? "store-regained" : "store-lost",
-                         {{"revision", std::to_string(store_copy_.revision())}});
+                         position_fields());
     }
   }
   if (has_changed) {
@@ -186,6 +176,71 @@
   }
 }
 
+bool store_synchronizer::apply_answer(const membership::store_request& sent_request,
+                                      const membership::store_answer& answer, time_point now) {
+  std::vector<membership::published_item> items = answer.items;
+  state_.gossip.on_update_received(now);
+  for (const membership::published_item& item : items) {
+    newest_change_ = std::max(newest_change_, item.position);
+  }
+  bool has_changed = extract_configuration(items);
+  const bool is_page = sent_request.what == membership::store_request::kind::read_page;
+  const membership::store_position previous_notice = notice();
+  const bool hosts_changed = is_page ? reader_.on_page(items, answer.next_key, answer.position, now)
+                                     : reader_.on_changes(items, answer.position, now);
+  if (hosts_changed) {
+    apply_hosts("store");
+    has_changed = true;
+  } else {
+    update_hosts_document();
+  }
+  if (notice() > previous_notice) {
+    state_.gossip.on_urgent_update();
+    observe::log_event(observe::log_level::info, "store-notice",
+                       {{"from", "store"},
+                        {"revision", std::to_string(notice().revision)},
+                        {"era", std::to_string(notice().era)}});
+  }
+  state_.revalidating_until = time_point{};
+  if (reader_.is_current()) {
+    state_.view.on_store_answer(now);
+  }
+  log_confirmation(is_page ? "listing" : "watch");
+  return has_changed;
+}
+
+void store_synchronizer::refuse_outdated_answer(const membership::store_position& position, time_point now) {
+  reader_.on_failure(now);
+  state_.view.on_store_doubtful();
+  state_.metrics.add("store_answers_outdated");
+  observe::log_event(observe::log_level::warning, "store-answer-outdated",
+                     {{"era", std::to_string(position.era)},
+                      {"known_era", std::to_string(logged_era_)},
+                      {"revision", std::to_string(position.revision)}});
+}
+
+void store_synchronizer::log_era(std::uint64_t era) {
+  if (era <= logged_era_) {
+    return;
+  }
+  // The first era that this node sees is no change.
+  if (store_copy_.position().is_known()) {
+    state_.metrics.add("store_era_changes");
+    observe::log_event(observe::log_level::warning, "store-era-changed",
+                       {{"era", std::to_string(era)},
+                        {"previous", std::to_string(logged_era_)},
+                        {"held_revision", std::to_string(store_copy_.position().revision)},
+                        {"held_entries", std::to_string(store_copy_.items().size())},
+                        {"version", std::to_string(state_.configuration_version())}});
+  }
+  logged_era_ = era;
+}
+
+observe::log_fields store_synchronizer::position_fields() const {
+  return {{"revision", std::to_string(store_copy_.position().revision)},
+          {"era", std::to_string(store_copy_.position().era)}};
+}
+
 void store_synchronizer::notify_listener() const {
   if (listener_) {
     listener_();
@@ -198,33 +253,35 @@
     if (state_.routes && offered.stamp.version <= state_.routes->version()) {
       return false;
     }
-    return accept_configuration(offered.body, offered.stamp.revision, "peer");
+    return accept_configuration(offered.body, offered.stamp.position, "peer");
   }
-  const std::vector<membership::published_item> items = parse_items(offered.body);
-  if (items.empty() || !store_copy_.merge(items, offered.stamp.revision, state_.clock.now())) {
+  const membership::store_position& position = offered.stamp.position;
+  const std::vector<membership::published_item> items = parse_items(offered.body, position.era);
+  if (items.empty() || !store_copy_.merge(items, position, state_.clock.now())) {
     return false;
   }
   apply_hosts("peer");
   return true;
 }
 
-void store_synchronizer::on_peer_view(std::uint64_t revision) {
-  if (revision == 0 || store_copy_.revision() < revision || !state_.routes) {
+void store_synchronizer::on_peer_view(const membership::store_position& position) {
+  if (!position.is_known() || store_copy_.position() < position || !state_.routes) {
     return;
   }
   state_.view.on_peer_view(state_.clock.now());
 }
 
-void store_synchronizer::on_peer_notice(std::uint64_t revision) {
-  if (!reader_.on_notice(revision, state_.clock.now())) {
+void store_synchronizer::on_peer_notice(const membership::store_position& position) {
+  if (!reader_.on_notice(position, state_.clock.now())) {
     return;
   }
   state_.gossip.on_urgent_update();
   state_.metrics.add("store_notices_passed_on");
   observe::log_event(observe::log_level::info, "store-notice",
                      {{"from", "peer"},
-                      {"revision", std::to_string(revision)},
-                      {"held", std::to_string(store_copy_.revision())}});
+                      {"revision", std::to_string(position.revision)},
+                      {"era", std::to_string(position.era)},
+                      {"held", std::to_string(store_copy_.position().revision)}});
 }
 
 bool store_synchronizer::abandon_silent_watch(time_point now) {
@@ -234,8 +291,10 @@
   }
   observe::log_event(observe::log_level::warning, "watch-abandoned",
                      {{"reason", is_silent ? "a peer knows a newer change" : "its time is over"},
-                      {"revision", std::to_string(store_copy_.revision())},
-                      {"peer_revision", std::to_string(reader_.peer_revision())},
+                      {"revision", std::to_string(store_copy_.position().revision)},
+                      {"peer_revision", std::to_string(reader_.peer_position().revision)},
+                      {"era", std::to_string(store_copy_.position().era)},
+                      {"peer_era", std::to_string(reader_.peer_position().era)},
                       {"open_ms", observe::to_milliseconds_text(now - reader_.sent())}});
   state_.metrics.add("store_watches_abandoned");
   reader_.on_silence(now);
@@ -252,7 +311,7 @@
                       {"open_ms", observe::to_milliseconds_text(now - reader_.sent())},
                       {"wait_ms", observe::to_milliseconds_text(request.wait)},
                       {"failures", std::to_string(reader_.failures())},
-                      {"revision", std::to_string(store_copy_.revision())}});
+                      {"revision", std::to_string(store_copy_.position().revision)}});
 }
 
 void store_synchronizer::log_confirmation(const char* source) {
@@ -264,7 +323,8 @@
   was_confirmed_ = is_confirmed;
   observe::log_event(observe::log_level::info, is_confirmed ? "view-confirmed" : "view-unconfirmed",
                      {{"source", source},
-                      {"revision", std::to_string(store_copy_.revision())},
+                      {"revision", std::to_string(store_copy_.position().revision)},
+                      {"era", std::to_string(store_copy_.position().era)},
                       {"version", std::to_string(state_.configuration_version())},
                       {"age_ms", observe::to_milliseconds_text(now - state_.view.last_confirmed())}});
 }
@@ -273,7 +333,7 @@
   bool has_changed = false;
   for (const membership::published_item& item : items) {
     if (source_->is_configuration(item.key) && !item.is_removed) {
-      has_changed = accept_configuration(item.value, item.revision, "store") || has_changed;
+      has_changed = accept_configuration(item.value, item.position, "store") || has_changed;
     }
   }
   items.erase(std::remove_if(items.begin(), items.end(),
@@ -284,14 +344,15 @@
   return has_changed;
 }
 
-bool store_synchronizer::accept_configuration(const std::string& value, std::uint64_t revision,
+bool store_synchronizer::accept_configuration(const std::string& value,
+                                              const membership::store_position& position,
                                               const std::string& from) {
   const result<routes::route_configuration, membership::published_value_error> parsed =
       source_->read_configuration(value);
   if (!succeeded(parsed)) {
     observe::log_event(observe::log_level::warning, "configuration-refused",
                        {{"from", from},
-                        {"revision", std::to_string(revision)},
+                        {"revision", std::to_string(position.revision)},
                         {"error", std::get<membership::published_value_error>(parsed).message}});
     return false;
   }
@@ -303,11 +364,12 @@
   log_changed_routes(configuration);
   state_.routes = std::make_shared<const routes::route_table>(configuration);
   state_.documents.merge(
-      {{configuration_document, configuration.version, revision, hash_text(value)}, value});
+      {{configuration_document, configuration.version, position, hash_text(value)}, value});
   observe::log_event(observe::log_level::info, "configuration-in-force",
                      {{"version", std::to_string(configuration.version)},
                       {"replaces", std::to_string(in_force)},
-                      {"revision", std::to_string(revision)},
+                      {"revision", std::to_string(position.revision)},
+                      {"era", std::to_string(position.era)},
                       {"routes", std::to_string(state_.routes->size())},
                       {"from", from}});
   set_named_services(configuration, from);
@@ -329,7 +391,7 @@
     return;
   }
   named_services_ = std::move(named);
-  if (store_copy_.revision() != 0) {
+  if (store_copy_.position().is_known()) {
     apply_hosts(from);
   }
 }
@@ -367,11 +429,11 @@
     result<membership::published_host, membership::published_value_error> parsed = source_->read_host(item);
     if (!succeeded(parsed)) {
       if (unreadable_entries_.size() < max_unreadable_entries &&
-          unreadable_entries_[item.key] != item.revision) {
-        unreadable_entries_[item.key] = item.revision;
+          unreadable_entries_[item.key] != item.position) {
+        unreadable_entries_[item.key] = item.position;
         observe::log_event(observe::log_level::warning, "entry-unreadable",
                            {{"key", item.key},
-                            {"revision", std::to_string(item.revision)},
+                            {"revision", std::to_string(item.position.revision)},
                             {"error", std::get<membership::published_value_error>(parsed).message}});
       }
       continue;
@@ -386,7 +448,7 @@
     host.region = region == state_.settings.regions.end() ? std::string() : region->second;
     host.host = host_part(host.address);
     host.peer_address = host.host + ':' + peer_port_;
-    host.revision = item.revision;
+    host.position = item.position;
     newest_hosts[host.instance] = host;
     const bool is_named = named_services_.empty() || named_services_.count(host.service) != 0;
     (is_named ? hosts : unnamed_hosts).push_back(std::move(host));
@@ -455,7 +517,7 @@
   state_.departures.on_listing(listing, now);
 
   // Log the changes.
-  const std::string revision = std::to_string(store_copy_.revision());
+  const std::string revision = std::to_string(store_copy_.position().revision);
   const std::function<std::string(const std::string&)> age = [&](const std::string& instance) {
     return departure_age_text(state_.departures, instance, policy::departure_sign::answered, now);
   };
@@ -520,15 +582,17 @@
 }
 
 void store_synchronizer::update_hosts_document() {
-  if (store_copy_.revision() == 0) {
+  const membership::store_position& position = store_copy_.position();
+  state_.store_position = position;
+  if (!position.is_known()) {
     return;
   }
   const membership::document* const exported = state_.documents.find(hosts_document);
-  if (exported != nullptr && exported->stamp.revision == store_copy_.revision()) {
+  if (exported != nullptr && exported->stamp.position == position) {
     return;
   }
-  std::string body = serialize_items(store_copy_.items());
-  state_.documents.merge({{hosts_document, 0, store_copy_.revision(), hash_text(body)}, std::move(body)});
+  std::string body = serialize_items(store_copy_.items(), position.era);
+  state_.documents.merge({{hosts_document, 0, position, hash_text(body)}, std::move(body)});
 }
 
 }  // namespace nutmegarch::node
--- a/nutmegarch/node/store_synchronizer.h
+++ b/nutmegarch/node/store_synchronizer.h
@@ -8,7 +8,9 @@
 #include <vector>
 
 #include "nutmegarch/membership/published_source.h"
+#include "nutmegarch/membership/version_lag.h"
 #include "nutmegarch/node/node_state.h"
+#include "nutmegarch/observe/log.h"
 
 namespace nutmegarch::node {
 
@@ -29,21 +31,33 @@
   void on_tick();
   /// Call after the process was suspended: connections may be dead, and the local copy may be stale.
   void on_pause();
-  /// True when the store can't be read now, or has not confirmed the view of this node. Requires the state's
-  /// lock.
-  bool needs_peers() const { return reader_.failures() > 0 || !state_.view.is_confirmed() || !state_.routes; }
-  /// Revision of the newest change that the store has told this node of; 0 when the store does not confirm
-  /// the view now. Requires the state's lock.
-  std::uint64_t confirmed_revision() const { return state_.view.is_confirmed() ? newest_change_ : 0; }
-  /// A peer has learned from the store of a change of this revision. Requires the state's lock.
-  void on_peer_change(std::uint64_t revision) { reader_.on_peer_change(revision, state_.clock.now()); }
-  /// Revision of the change that peers must be told of at once; 0 if there is none. Requires the state's lock.
-  std::uint64_t notice_revision() const { return reader_.notice(state_.clock.now()); }
-  /// A peer has sent its notice_revision(). Requires the state's lock.
-  void on_peer_notice(std::uint64_t revision);
-  /// A peer has sent all documents that this node lacks. `revision` is its confirmed_revision(). Requires the
+  /// True when the store can't be read now, has not confirmed the view of this node, or may not have the
+  /// newest configuration any more. Requires the state's lock.
+  bool needs_peers() const {
+    return reader_.failures() > 0 || !state_.view.is_confirmed() || !state_.routes ||
+           lag_.is_lasting(state_.configuration_version(), state_.clock.now());
+  }
+  /// Position of the newest change that the store has told this node of; not known when the store does not
+  /// confirm the view now. Requires the state's lock.
+  membership::store_position confirmed() const {
+    return state_.view.is_confirmed() ? newest_change_ : membership::store_position();
+  }
+  /// A peer has learned from the store of a change at this position. Requires the state's lock.
+  void on_peer_change(const membership::store_position& position) {
+    reader_.on_peer_change(position, state_.clock.now());
+  }
+  /// Position of the change that peers must be told of at once; not known if there is none. Requires the
   /// state's lock.
-  void on_peer_view(std::uint64_t revision);
+  membership::store_position notice() const { return reader_.notice(state_.clock.now()); }
+  /// A peer has sent its notice(). Requires the state's lock.
+  void on_peer_notice(const membership::store_position& position);
+  /// A peer has a configuration of this version in force. Requires the state's lock.
+  void on_peer_version(std::uint64_t version) {
+    lag_.on_peer_version(version, state_.configuration_version(), state_.clock.now());
+  }
+  /// A peer has sent all documents that this node lacks. `position` is its confirmed(). Requires the state's
+  /// lock.
+  void on_peer_view(const membership::store_position& position);
   /// Applies a document from a peer when it is newer than the local one; returns true when it was applied.
   /// Requires the state's lock.
   bool accept_document(const membership::document& offered);
@@ -56,7 +70,18 @@
                  const result<membership::store_answer, membership::store_error>& outcome);
   /// Applies a configuration when it is newer than the one in force; returns true when it was applied.
   /// Requires the state's lock.
-  bool accept_configuration(const std::string& value, std::uint64_t revision, const std::string& from);
+  bool accept_configuration(const std::string& value, const membership::store_position& position,
+                            const std::string& from);
+  /// Applies an answer of the era that is being read; returns true when routes or targets have changed.
+  /// Requires the state's lock.
+  bool apply_answer(const membership::store_request& sent_request, const membership::store_answer& answer,
+                    time_point now);
+  /// Drops an answer of an ended era, or of none. Requires the state's lock.
+  void refuse_outdated_answer(const membership::store_position& position, time_point now);
+  /// Logs the first answer of each era. Requires the state's lock.
+  void log_era(std::uint64_t era);
+  /// Where the local copy stands, for the log.
+  observe::log_fields position_fields() const;
   /// Ends the watch in progress when it is silent or overdue; true when it was. Requires the state's lock.
   bool abandon_silent_watch(time_point now);
   /// Requires the state's lock.
@@ -101,14 +126,17 @@
   std::set<std::string> services_;
   /// The newest valid entry of each target process, by the instance name.
   std::map<std::string, membership::published_host> newest_hosts_;
-  /// Revisions of unreadable entries, by key, so that each is logged once.
-  std::map<std::string, std::uint64_t> unreadable_entries_;
+  /// Positions of unreadable entries, by key, so that each is logged once.
+  std::map<std::string, membership::store_position> unreadable_entries_;
   /// What the published entries of the last listing say about leaving.
   std::map<std::string, bool> leaving_by_instance_;
   bool is_store_reachable_ = true;
   /// What was logged last.
   bool was_confirmed_ = false;
-  std::uint64_t newest_change_ = 0;
+  membership::store_position newest_change_;
+  membership::version_lag lag_;
+  /// Newest era of an answer.
+  std::uint64_t logged_era_ = 0;
   std::string peer_port_;
 };
 
--- a/nutmegarch/protocol/codec.cpp
+++ b/nutmegarch/protocol/codec.cpp
@@ -52,12 +52,13 @@
 void write_stamp(const membership::document_stamp& from, wire::DocumentStamp::Builder to) {
   to.setKey(from.key);
   to.setVersion(from.version);
-  to.setRevision(from.revision);
+  to.setRevision(from.position.revision);
+  to.setEra(from.position.era);
   to.setHash(from.hash);
 }
 
 membership::document_stamp read_stamp(wire::DocumentStamp::Reader from) {
-  return {to_text(from.getKey()), from.getVersion(), from.getRevision(), from.getHash()};
+  return {to_text(from.getKey()), from.getVersion(), {from.getEra(), from.getRevision()}, from.getHash()};
 }
 
 }  // namespace
@@ -204,8 +205,11 @@
   to.setIncarnation(from.self.incarnation);
   to.setLeaving(from.self.leaving);
   to.setStamp(from.stamp);
-  to.setStoreRevision(from.store_revision);
-  to.setNoticeRevision(from.notice_revision);
+  to.setStoreRevision(from.confirmed.revision);
+  to.setStoreEra(from.confirmed.era);
+  to.setNoticeRevision(from.notice.revision);
+  to.setNoticeEra(from.notice.era);
+  to.setConfigurationVersion(from.configuration_version);
   capnp::List<wire::DocumentStamp>::Builder digest = to.initDigest(static_cast<unsigned>(from.digest.size()));
   for (std::size_t i = 0; i < from.digest.size(); ++i) {
     write_stamp(from.digest.at(i), digest[static_cast<unsigned>(i)]);
@@ -229,8 +233,10 @@
   peer_exchange exchange;
   exchange.self = {to_text(from.getHost()), from.getIncarnation(), from.getLeaving()};
   exchange.stamp = from.getStamp();
-  exchange.store_revision = from.getStoreRevision();
-  exchange.notice_revision = from.getNoticeRevision();
+  // Peers of an earlier version name no eras, so that what they know counts as older.
+  exchange.confirmed = {from.getStoreEra(), from.getStoreRevision()};
+  exchange.notice = {from.getNoticeEra(), from.getNoticeRevision()};
+  exchange.configuration_version = from.getConfigurationVersion();
   for (const wire::DocumentStamp::Reader stamp : from.getDigest()) {
     exchange.digest.push_back(read_stamp(stamp));
   }
--- a/nutmegarch/protocol/peer.capnp
+++ b/nutmegarch/protocol/peer.capnp
@@ -91,6 +91,8 @@
   version @1 :UInt64;
   revision @2 :UInt64;
   hash @3 :UInt64;
+  # Era of the store in which the revision was given out.
+  era @4 :UInt64;
 }
 
 struct Document {
@@ -116,6 +118,11 @@
   storeRevision @7 :UInt64;
   # Revision of a change that peers may wait for on dead connections to the store; 0 if there is none.
   noticeRevision @8 :UInt64;
+  # Eras of the store in which the two revisions were given out.
+  storeEra @9 :UInt64;
+  noticeEra @10 :UInt64;
+  # Version of the configuration that the sender has in force; 0 if it has none.
+  configurationVersion @11 :UInt64;
 }
 
 interface Peer {
--- a/nutmegarch/protocol/peer.capnp.h
+++ b/nutmegarch/protocol/peer.capnp.h
@@ -146,7 +146,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8e5ee99f00feaaf7, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8e5ee99f00feaaf7, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -191,7 +191,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f03d1315d37be1ff, 5, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f03d1315d37be1ff, 8, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1175,6 +1175,8 @@
 
   inline  ::uint64_t getHash() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1219,6 +1221,9 @@
   inline  ::uint64_t getHash();
   inline void setHash( ::uint64_t value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1457,6 +1462,12 @@
 
   inline  ::uint64_t getNoticeRevision() const;
 
+  inline  ::uint64_t getStoreEra() const;
+
+  inline  ::uint64_t getNoticeEra() const;
+
+  inline  ::uint64_t getConfigurationVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1528,6 +1539,15 @@
   inline  ::uint64_t getNoticeRevision();
   inline void setNoticeRevision( ::uint64_t value);
 
+  inline  ::uint64_t getStoreEra();
+  inline void setStoreEra( ::uint64_t value);
+
+  inline  ::uint64_t getNoticeEra();
+  inline void setNoticeEra( ::uint64_t value);
+
+  inline  ::uint64_t getConfigurationVersion();
+  inline void setConfigurationVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3578,6 +3598,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t DocumentStamp::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t DocumentStamp::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void DocumentStamp::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Document::Reader::hasStamp() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3885,6 +3919,48 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Exchange::Reader::getStoreEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Exchange::Builder::getStoreEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Exchange::Builder::setStoreEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Exchange::Reader::getNoticeEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Exchange::Builder::getNoticeEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Exchange::Builder::setNoticeEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Exchange::Reader::getConfigurationVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Exchange::Builder::getConfigurationVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Exchange::Builder::setConfigurationVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/nutmegarch/protocol/peer_messages.h
+++ b/nutmegarch/protocol/peer_messages.h
@@ -58,11 +58,14 @@
   std::vector<policy::crash_mark> marks;
   /// Hybrid logical clock of the sender.
   std::uint64_t stamp = 0;
-  /// Revision of the newest change that the platform's store has told the sender of; 0 if the store does not
-  /// confirm the sender's view now.
-  std::uint64_t store_revision = 0;
-  /// Revision of a change that peers may wait for on dead connections to the store; 0 if there is none.
-  std::uint64_t notice_revision = 0;
+  /// Position of the newest change that the platform's store has told the sender of; not known if the store
+  /// does not confirm the sender's view now.
+  membership::store_position confirmed;
+  /// Position of a change that peers may wait for on dead connections to the store; not known if there is
+  /// none.
+  membership::store_position notice;
+  /// Version of the configuration that the sender has in force; 0 if it has none.
+  std::uint64_t configuration_version = 0;
 };
 
 /// Errors of the protocol between nodes.
--- a/stand_ins/store_command.cpp
+++ b/stand_ins/store_command.cpp
@@ -41,6 +41,10 @@
       store_.remove(argument);
     } else if (what == "forget") {
       store_.forget_history();
+    } else if (what == "copy") {
+      store_.take_copy();
+    } else if (what == "return") {
+      store_.return_from_copy();
     } else if (what == "mode") {
       using mode = store_stand_in::mode;
       store_.set_mode(argument == "refuses"  ? mode::refuses
--- a/stand_ins/store_stand_in.cpp
+++ b/stand_ins/store_stand_in.cpp
@@ -55,9 +55,10 @@
 
 }  // namespace
 
-void store_stand_in::on_request(std::uint64_t, request_message request, answer_callback answer) {
+void store_stand_in::on_request(std::uint64_t, request_message request, answer_callback done) {
   const std::lock_guard<std::mutex> lock(mutex_);
   ++calls_;
+  const answer_callback answer = with_era(std::move(done));
   if (mode_ == mode::refuses) {
     answer({503, {}, ""});
     return;
@@ -68,7 +69,7 @@
   }
   if (mode_ == mode::silent || answers_to_lose_ > 0) {
     answers_to_lose_ = std::max(0, answers_to_lose_ - 1);
-    unanswered_.push_back(std::move(answer));
+    unanswered_.push_back(answer);
     return;
   }
   const std::string after = parameter(request.target, "after");
@@ -82,18 +83,18 @@
     return;
   }
   if (are_watches_silent_) {
-    unanswered_.push_back(std::move(answer));
+    unanswered_.push_back(answer);
     return;
   }
   const std::uint64_t revision = after.empty() ? 0 : std::stoull(after);
-  if (revision < history_begin_) {
+  if (revision < history_begin_ || revision > revision_) {
     answer({410, {}, ""});
   } else if (revision < revision_) {
     answer(changes_after(revision));
   } else {
     const std::string wait = parameter(request.target, "WaitMs");
     const std::chrono::milliseconds length(wait.empty() ? 0 : std::stoll(wait));
-    watches_.push_back({revision, std::chrono::steady_clock::now() + length, std::move(answer)});
+    watches_.push_back({revision, std::chrono::steady_clock::now() + length, answer});
   }
 }
 
@@ -151,6 +152,30 @@
   answers_to_lose_ = calls;
 }
 
+void store_stand_in::take_copy() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  copy_revision_ = revision_;
+}
+
+void store_stand_in::return_from_copy() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto is_lost = [this](const change& made) { return made.revision > copy_revision_; };
+  all_changes_.erase(std::remove_if(all_changes_.begin(), all_changes_.end(), is_lost), all_changes_.end());
+  history_.erase(std::remove_if(history_.begin(), history_.end(), is_lost), history_.end());
+  revision_ = copy_revision_;
+  history_begin_ = std::min(history_begin_, revision_);
+  ++era_;
+  for (waiting_watch& watch : watches_) {
+    unanswered_.push_back(std::move(watch.answer));
+  }
+  watches_.clear();
+}
+
+void store_stand_in::set_era_field(std::optional<std::string> field) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  era_field_ = std::move(field);
+}
+
 void store_stand_in::end_watches() {
   const std::lock_guard<std::mutex> lock(mutex_);
   const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
@@ -180,6 +205,17 @@
   return calls_;
 }
 
+http::request_handler::answer_callback store_stand_in::with_era(answer_callback answer) {
+  // The caller of the returned callback holds the mutex.
+  return [this, answer = std::move(answer)](answer_message message) {
+    const std::string field = era_field_.value_or(std::to_string(era_));
+    if (!field.empty()) {
+      message.fields.push_back({"Store-Era", field});
+    }
+    answer(std::move(message));
+  };
+}
+
 std::map<std::string, store_stand_in::change> store_stand_in::items_at(std::uint64_t revision) const {
   std::map<std::string, change> items;
   for (const change& made : all_changes_) {
--- a/stand_ins/store_stand_in.h
+++ b/stand_ins/store_stand_in.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,8 +12,8 @@
 namespace nutmegarch::stand_ins {
 
 /// The users' metadata store as its pages describe it, within the test's process: listings by page, watches
-/// that wait for a change, a revision that counts changes. A watch without a change is answered by
-/// end_watches().
+/// that wait for a change, a revision that counts changes, an era that counts returns from a copy. A watch
+/// without a change is answered by end_watches().
 class store_stand_in final : public http::request_handler {
  public:
   /// How the store answers.
@@ -37,6 +38,13 @@
   void set_exact_reads_refused(bool are_refused);
   /// The answers to the next calls are lost: their connections return nothing further.
   void lose_answers(int calls);
+  /// Keeps a copy of the store as it is now, for return_from_copy().
+  void take_copy();
+  /// The store comes back from the copy: later changes are gone, their revisions are given out again, and the
+  /// next era begins. Watches that wait are cut without an answer.
+  void return_from_copy();
+  /// Sets what all answers name as the era; by default the number of the era. Empty: they name none.
+  void set_era_field(std::optional<std::string> field);
   /// Answers the watches that have waited as long as they asked.
   void end_watches();
   std::uint64_t revision() const;
@@ -59,6 +67,8 @@
     answer_callback answer;
   };
 
+  /// The callback of a caller, with the field of the era in its answers.
+  answer_callback with_era(answer_callback answer);
   std::map<std::string, change> items_at(std::uint64_t revision) const;
   answer_message list(const std::string& after, std::uint64_t revision) const;
   answer_message changes_after(std::uint64_t revision) const;
@@ -69,6 +79,10 @@
   std::vector<change> all_changes_;
   std::vector<change> history_;
   std::uint64_t revision_ = 1;
+  std::uint64_t era_ = 1;
+  std::uint64_t copy_revision_ = 0;
+  /// The default is the number of the era.
+  std::optional<std::string> era_field_;
   std::uint64_t history_begin_ = 0;
   std::vector<waiting_watch> watches_;
   std::vector<answer_callback> unanswered_;
--- a/unit_tests/fuzz/format_fuzz_test.cpp
+++ b/unit_tests/fuzz/format_fuzz_test.cpp
@@ -72,7 +72,7 @@
     }
     const std::string value =
         random.mutate(i % 2 == 0 ? server_text : odd_texts.at(i / 2 % odd_texts.size()));
-    const membership::published_item item{random.mutate("servers/i-1"), value, 3, false};
+    const membership::published_item item{random.mutate("servers/i-1"), value, {0, 3}, false};
     const result<membership::published_host, membership::published_value_error> host =
         platform_adapter::parse_server(item);
     if (succeeded(host)) {
@@ -116,8 +116,8 @@
   protocol::write(answer, answer_builder.initRoot<protocol::wire::Answer>());
   protocol::peer_exchange exchange;
   exchange.self.host = "h";
-  exchange.digest.push_back({"key", 1, 2, 3});
-  exchange.documents.push_back({{"key", 1, 2, 3}, "body"});
+  exchange.digest.push_back({"key", 1, {4, 2}, 3});
+  exchange.documents.push_back({{"key", 1, {4, 2}, 3}, "body"});
   exchange.marks.push_back({9, 2});
   capnp::MallocMessageBuilder exchange_builder;
   protocol::write(exchange, exchange_builder.initRoot<protocol::wire::Exchange>());
--- a/unit_tests/membership/membership_test.cpp
+++ b/unit_tests/membership/membership_test.cpp
@@ -52,7 +52,7 @@
           rc::gen::inRange<std::size_t>(0, 8), rc::gen::inRange<std::size_t>(0, 8), rc::gen::inRange(0, 10)));
   std::vector<document_table> tables(nodes);
   for (document_table& table : tables) {
-    table.merge({{"rules", 1, 0, 0}, "1"});
+    table.merge({{"rules", 1, {}, 0}, "1"});
   }
   std::uint64_t newest = 1;
   for (const std::tuple<std::size_t, std::size_t, int>& step : steps) {
@@ -63,7 +63,7 @@
       // A node reads a value from the store. A stale store may return an old one.
       const std::uint64_t version = std::get<2>(step) == 0 ? 1 : newest + 1;
       newest = std::max(newest, version);
-      left.merge({{"rules", version, 0, 0}, std::to_string(version)});
+      left.merge({{"rules", version, {}, 0}, std::to_string(version)});
     } else {
       exchange(left, right);
     }
--- a/unit_tests/membership/silent_fleet_test.cpp
+++ b/unit_tests/membership/silent_fleet_test.cpp
@@ -44,7 +44,7 @@
   store_request request;
   /// False once the connection of the request is dead.
   bool is_connected = true;
-  std::uint64_t newest_change = 0;
+  store_position newest_change;
   int calls = 0;
 };
 
@@ -52,8 +52,8 @@
 struct message {
   time_point arrival;
   std::size_t receiver = 0;
-  std::uint64_t store_revision = 0;
-  std::uint64_t notice_revision = 0;
+  store_position confirmed;
+  store_position notice;
 };
 
 /// A fleet that reads one store, in virtual time.
@@ -74,7 +74,7 @@
       node->is_connected = false;
     }
   }
-  void change() { ++revision_; }
+  void change() { ++position_.revision; }
 
   void run_until(time_point end) {
     for (; now_ < end; now_ += tick) {
@@ -106,7 +106,7 @@
  private:
   bool all_know() const {
     return std::all_of(nodes_.begin(), nodes_.end(), [this](const std::unique_ptr<simulated_node>& node) {
-      return node->newest_change == revision_;
+      return node->newest_change == position_;
     });
   }
 
@@ -142,17 +142,17 @@
       }
       return;
     }
-    const std::uint64_t previous_notice = reader.notice(now_);
+    const store_position previous_notice = reader.notice(now_);
     if (node.request.what == store_request::kind::read_page) {
       if (open >= store_delay) {
-        reader.on_page({{"a", "v", revision_, false}}, "", revision_, now_);
-        node.newest_change = revision_;
+        reader.on_page({{"a", "v", position_, false}}, "", position_, now_);
+        node.newest_change = position_;
       }
-    } else if (revision_ > node.request.revision && open >= store_delay) {
-      reader.on_changes({{"a", "v", revision_, false}}, revision_, now_);
-      node.newest_change = revision_;
+    } else if (position_ > node.request.position && open >= store_delay) {
+      reader.on_changes({{"a", "v", position_, false}}, position_, now_);
+      node.newest_change = position_;
     } else if (open >= node.request.wait + store_delay) {
-      reader.on_changes({}, revision_, now_);
+      reader.on_changes({}, position_, now_);
     }
     if (reader.notice(now_) > previous_notice) {
       node.gossip.on_urgent_update();
@@ -160,7 +160,8 @@
   }
 
   void send(const simulated_node& from, std::size_t receiver) {
-    messages_.push_back({now_ + peer_delay, receiver, from.reader.is_current() ? from.newest_change : 0,
+    messages_.push_back({now_ + peer_delay, receiver,
+                         from.reader.is_current() ? from.newest_change : store_position(),
                          from.reader.notice(now_)});
   }
 
@@ -169,8 +170,8 @@
       const message received = messages_.front();
       messages_.pop_front();
       simulated_node& node = *nodes_.at(received.receiver);
-      node.reader.on_peer_change(received.store_revision, now_);
-      if (node.reader.on_notice(received.notice_revision, now_)) {
+      node.reader.on_peer_change(received.confirmed, now_);
+      if (node.reader.on_notice(received.notice, now_)) {
         node.gossip.on_urgent_update();
       }
     }
@@ -178,7 +179,7 @@
 
   std::vector<std::unique_ptr<simulated_node>> nodes_;
   std::deque<message> messages_;
-  std::uint64_t revision_ = 1;
+  store_position position_{1, 1};
   time_point now_ = start;
 };
 
--- a/unit_tests/platform/platform_path_test.cpp
+++ b/unit_tests/platform/platform_path_test.cpp
@@ -124,7 +124,7 @@
 BOOST_FIXTURE_TEST_CASE(peer_document_with_a_revision_out_of_range_is_ignored, small_platform) {
   for (const char* const revision : {"-1", "1.5", "1e300"}) {
     protocol::peer_exchange offer;
-    offer.documents.push_back({{"published-hosts", 1'000'000, 1'000'000, 1},
+    offer.documents.push_back({{"published-hosts", 1'000'000, {0, 1'000'000}, 1},
                                std::string(R"([["servers/x",)") + revision + R"(,"{}"]])"});
     BOOST_CHECK_NO_THROW(nodes.at(0)->on_exchange(offer));
   }
--- a/unit_tests/platform/published_format_test.cpp
+++ b/unit_tests/platform/published_format_test.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 membership::published_item server_item(const std::string& value, const std::string& key = "servers/i-1") {
-  return {key, value, 3, false};
+  return {key, value, {0, 3}, false};
 }
 
 constexpr const char* server_text = R"({"Service": "shop", "Address": "10.1.0.1:8341", "Zone": "z",
@@ -128,7 +128,7 @@
   BOOST_REQUIRE(page.has_value());
   BOOST_TEST(page->items.at(0).value == "node-1");
   BOOST_TEST(page->next_key == "a");
-  BOOST_TEST(page->revision == 9U);
+  BOOST_TEST(page->position.revision == 9U);
   const std::optional<membership::store_answer> changes =
       read_store_answer(R"({"events": [{"Key": "a", "Revision": 10, "Tombstone": true}], "AsOf": 10})");
   BOOST_REQUIRE(changes.has_value());
--- a/unit_tests/protocol/peer_network_test.cpp
+++ b/unit_tests/protocol/peer_network_test.cpp
@@ -295,8 +295,8 @@
 BOOST_FIXTURE_TEST_CASE(exchange_carries_digests_documents_and_marks, two_networks) {
   peer_exchange offer;
   offer.self = {"host", 5, true};
-  offer.digest = {{"rules", 1, 2, 3}};
-  offer.documents = {{{"rules", 1, 2, 3}, "text"}};
+  offer.digest = {{"rules", 1, {0, 2}, 3}};
+  offer.documents = {{{"rules", 1, {0, 2}, 3}, "text"}};
   offer.marks = {{99, 2}};
   std::promise<result<peer_exchange, peer_error>> done;
   client.exchange(address, offer,
