--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,6 +14,8 @@
 TROUBLES = ("reject=0.7", "fail=0.3", "lose=0.3", "truncate=0.3", "extra=0.3", "garbage=0.2", "slow=10",
             "reject=0.3&slow=3&lose=0.1")
 LINK_MODES = ("silent", "cut_to", "cut_from", "refuse", "pass", "reset")
+# Kinds that come only if they are named, so that the plans of earlier seeds stay as they are.
+NAMED_ONLY = ("store_silence", "store_return")
 STORE_MODES = ("refuses", "limits", "silent", "forget")
 QUIET_BEGIN = 4.0
 TAIL = BOUNDS["RecoveryS"] + 5.0
@@ -30,7 +32,7 @@
             kind = random.choice(kinds or (PLANNED if is_planned else CHAOS))
             span = min(random.choice((0.2, 0.6, 1.5, 4.0)), max(0.2, end - at))
             details = {"trouble": TROUBLES, "peer_link": LINK_MODES, "store_link": LINK_MODES,
-                       "store_mode": STORE_MODES, "configure": (1, 2, 3)}.get(kind, ("",))
+                       "store_mode": STORE_MODES, "configure": (1, 2, 3), "store_return": (0.2, 1.0)}.get(kind, ("",))
             events.append((round(at, 3), kind, random.randrange(count), span, random.choice(details)))
             at += random.uniform(0.1, 1.2)
         at += 1.0 if is_planned else 5.0
@@ -74,7 +76,7 @@
         self.busy = set()
 
     async def do(self, kind, host, length, detail):
-        target = kind not in ("configure", "reload", "reload_all", "store_mode", "kill_all")
+        target = kind not in ("configure", "reload", "reload_all", "store_mode", "kill_all") + NAMED_ONLY
         key = (kind.split("_")[0] if "link" in kind else "server" if kind in SERVER_FAULTS else "node", host.index)
         if target and key in self.busy:
             return
@@ -137,7 +139,7 @@
         self.checker.draining[instance] = time.monotonic()
         await asyncio.sleep(BOUNDS["DrainMs"] / 1000 + 1.5)
         await self.end_server(host, process, instance)
-        await self.fleet.store("remove/servers/" + instance)
+        await host.unregister(instance)
         await asyncio.sleep(0.5)
         await host.start_server()
         await host.register()
@@ -185,7 +187,7 @@
         await host.start_server()
         await host.register()
         await asyncio.sleep(1)
-        await self.fleet.store("remove/servers/" + old)
+        await host.unregister(old)
         span[1] = time.monotonic()
 
     async def trouble(self, host, length, detail):
@@ -222,6 +224,34 @@
         await self.fleet.store("mode/good")
         span[1] = time.monotonic()
 
+    async def store_silence(self, *_):
+        """All open connections to the store carry nothing any more; new ones work."""
+        span = self.checker.disturb()
+        for host in self.fleet.hosts:
+            self.fleet.tell_proxy("sever store-%d" % host.index)
+        span[1] = time.monotonic()
+
+    async def store_return(self, _, length, delay):
+        """The store comes back from a copy. What was written since is gone, and is written again after a delay."""
+        span = self.checker.disturb()
+        await self.fleet.store("copy")
+        await asyncio.sleep(length)
+        await self.fleet.store("mode/refuses")
+        await asyncio.sleep(0.3)
+        await self.fleet.store("return")
+        await self.fleet.store("mode/good")
+        await asyncio.sleep(delay)
+        await self.fleet.store("put/op/config", manifest(self.checker.newest))
+        for host in self.fleet.hosts:
+            for instance, entry in list(host.published.items()):
+                await host.publish(instance, entry)
+        for host in self.fleet.hosts:
+            for start in range(1, host.starts + 1):
+                instance = "i-%d-%d" % (host.index, start)
+                if instance not in host.published:
+                    await host.unregister(instance)
+        span[1] = time.monotonic()
+
     # Helpers.
 
     def begin_planned(self, host):
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -58,6 +58,8 @@
         self.starts = 0
         self.lifetime = 0
         self.reloads = 0
+        # What the store has confirmed of this host's servers, by instance.
+        self.published = {}
 
     def write_settings(self):
         fields = {
@@ -118,10 +120,18 @@
         return self.server
 
     async def register(self, state="ready"):
-        await self.fleet.store("put/servers/" + self.instance, json.dumps({
+        await self.publish(self.instance, json.dumps({
             "Service": self.service, "Address": self.server_address, "Zone": self.zone, "Version": "v1",
             "Slots": SLOTS, "State": state, "ColdRemainingMs": 0, "Sequence": 1, "born": self.born}))
 
+    async def publish(self, instance, entry):
+        self.published[instance] = entry
+        await self.fleet.store("put/servers/" + instance, entry)
+
+    async def unregister(self, instance):
+        self.published.pop(instance, None)
+        await self.fleet.store("remove/servers/" + instance)
+
     async def trouble(self, query=""):
         await call(self.ip, 8301, "GET", "/stand-in/trouble?" + query)
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -3,6 +3,7 @@
     listen NAME FROM_ADDRESS TO_ADDRESS
     set NAME MODE DELAY_MS      MODE: pass, silent, cut_to, cut_from (one direction drops), refuse
     reset NAME                  resets the connections that are open
+    sever NAME                  the connections that are open carry nothing any more; new ones work
 """
 
 import asyncio
@@ -18,6 +19,13 @@
     return host, int(port)
 
 
+class Pair:
+    """One connection through the proxy."""
+
+    def __init__(self):
+        self.is_severed = False
+
+
 class Link:
     """One listening address and the connections through it."""
 
@@ -26,6 +34,7 @@
         self.mode = "pass"
         self.delay = 0.0
         self.writers = set()
+        self.pairs = set()
 
     async def accept(self, reader, writer):
         if self.mode == "refuse":
@@ -39,13 +48,16 @@
         except OSError:
             self.abort(writer)
             return
+        pair = Pair()
+        self.pairs.add(pair)
         self.writers |= {writer, far_writer}
         await asyncio.gather(
-            self.carry(reader, far_writer, "cut_to"), self.carry(far_reader, writer, "cut_from")
+            self.carry(pair, reader, far_writer, "cut_to"), self.carry(pair, far_reader, writer, "cut_from")
         )
         self.writers -= {writer, far_writer}
+        self.pairs.discard(pair)
 
-    async def carry(self, reader, writer, cut):
+    async def carry(self, pair, reader, writer, cut):
         """Bytes of a cut direction are held back and carried on later, as TCP would send them again."""
         try:
             while data := await reader.read(CHUNK):
@@ -53,6 +65,8 @@
                     await asyncio.sleep(self.delay)
                 while self.mode in ("silent", cut):
                     await asyncio.sleep(0.02)
+                if pair.is_severed:
+                    continue
                 writer.write(data)
                 await writer.drain()
             writer.close()
@@ -66,6 +80,10 @@
             end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         writer.transport.abort()
 
+    def sever(self):
+        for pair in self.pairs:
+            pair.is_severed = True
+
     def reset(self):
         for writer in list(self.writers):
             self.abort(writer)
@@ -87,6 +105,8 @@
             links[line[1]].delay = float(line[3]) / 1000
         elif line[0] == "reset":
             links[line[1]].reset()
+        elif line[0] == "sever":
+            links[line[1]].sever()
 
 
 asyncio.run(main())
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -42,7 +42,8 @@
     parser.add_argument("--seed", type=int, required=True)
     parser.add_argument("--minutes", type=float, default=2)
     parser.add_argument("--nodes", type=int, default=6)
-    parser.add_argument("--faults", help="kinds of faults, separated by commas; all by default")
+    parser.add_argument("--faults", help="kinds of faults, separated by commas; by default all but "
+                        + " and ".join(faults.NAMED_ONLY))
     parser.add_argument("--binary", default=os.path.join(ROOT, "build", "nutmegarch"), help="program under soak")
     parser.add_argument("--folder", help="where the run keeps its files, best in memory: a busy disk stops their writers")
     parser.add_argument("--logs", help="folder that gets the folder of a run")
