--- a/nutmegarch/membership/store_position.h
+++ b/nutmegarch/membership/store_position.h
@@ -22,7 +22,9 @@
   constexpr bool is_known() const { return revision != 0; }
 
   friend constexpr bool operator==(const store_position&, const store_position&) = default;
-  friend constexpr std::strong_ordering operator<=>(const store_position&, const store_position&) = default;
+  friend constexpr std::strong_ordering operator<=>(const store_position& left, const store_position& right) {
+    return left.era != right.era ? left.era <=> right.era : left.revision <=> right.revision;
+  }
 };
 
 }  // namespace nutmegarch::membership
--- a/unit_tests/platform/store_era_path_test.cpp
+++ b/unit_tests/platform/store_era_path_test.cpp
@@ -107,8 +107,8 @@
   return_from_copy();
   BOOST_REQUIRE(wait_for([&]() { return has_seen_era(0); }, stable_window));
   BOOST_TEST(send_request(0, "GET", "/look/1").status == 200);
-  BOOST_TEST(wait_for([&]() { return send_request(0, "GET", "/look/1").status == 503; },
-                      std::chrono::seconds(4)));
+  BOOST_TEST(
+      wait_for([&]() { return send_request(0, "GET", "/look/1").status == 503; }, std::chrono::seconds(4)));
 }
 
 BOOST_FIXTURE_TEST_CASE(answers_with_a_missing_lower_or_malformed_era_are_not_taken_for_current,
