--- a/unit_tests/membership/store_era_test.cpp
+++ b/unit_tests/membership/store_era_test.cpp
@@ -324,6 +324,65 @@
   BOOST_TEST(state.items().count("left") == 0U);
 }
 
+// Guards against a store that is busy with all nodes at the moment of its return.
+BOOST_AUTO_TEST_CASE(era_costs_each_node_one_listing_and_not_all_at_once) {
+  constexpr std::size_t node_count = 98;
+  constexpr duration step = milliseconds(10);
+  constexpr duration bound = milliseconds(2'500);
+  store_model store;
+  store.put("config", 1);
+  store.take_copy();
+  store.put("a", 2);
+  std::vector<std::unique_ptr<reading_node>> nodes;
+  for (std::size_t i = 0; i < node_count; ++i) {
+    nodes.push_back(std::make_unique<reading_node>(i + 1));
+    nodes.back()->reader.set_fleet(node_count, i);
+  }
+  // The watches that wait are cut by the return, and answered by the era after it.
+  for (const std::unique_ptr<reading_node>& node : nodes) {
+    node->send(store, start);
+    node->receive(start);
+    node->send(store, start);
+    node->pending.reset();
+  }
+  store.return_from_copy();
+  std::map<time_point, int> listings;
+  int calls = 0;
+  for (const std::unique_ptr<reading_node>& node : nodes) {
+    node->reader.on_connection_lost(start);
+  }
+  for (time_point now = start; now < start + bound; now += step) {
+    for (const std::unique_ptr<reading_node>& node : nodes) {
+      const std::uint64_t previous = node->request.request_id;
+      node->send(store, now);
+      if (node->request.request_id != previous && node->pending) {
+        ++calls;
+        listings[now] += node->request.what == store_request::kind::read_page ? 1 : 0;
+        // A watch of the new era waits, for longer than this test.
+        const bool is_waiting = node->request.what == store_request::kind::watch &&
+                                node->request.position.era == node->pending->position.era;
+        if (is_waiting) {
+          node->pending.reset();
+        }
+      }
+      node->receive(now);
+    }
+  }
+  int sum = 0;
+  int most = 0;
+  for (const std::pair<const time_point, int>& listed : listings) {
+    sum += listed.second;
+    most = std::max(most, listed.second);
+  }
+  BOOST_TEST(sum == static_cast<int>(node_count));
+  BOOST_TEST(most <= static_cast<int>(node_count) / 4);
+  // The watch that shows the era, the listing and the next watch.
+  BOOST_TEST(calls <= 3 * static_cast<int>(node_count));
+  for (const std::unique_ptr<reading_node>& node : nodes) {
+    BOOST_TEST((node->state.position() == store_position(2, 2)));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(configuration_that_only_peers_have_is_asked_for_after_some_time) {
   const version_lag_settings settings;
   version_lag lag(settings);
