Configuration: a resource that can't be read leaves the others in force

The requests of a route that can't be read get 503, neither 404 nor the service of a shorter prefix: the route stays as a placeholder, by its own host and prefix or by those that it had.

--- a/nutmegarch/node/routed_call.cpp
+++ b/nutmegarch/node/routed_call.cpp
@@ -57,7 +57,11 @@
   const routes::route* const route = state.routes->find(request.authority, request.target);
   if (route == nullptr) {
     // An old view may lack a route that was added since.
-    return state.view.is_confirmed() ? call_reason::no_route : call_reason::not_configured;
+    const bool is_certain = state.view.is_confirmed() && !state.routes->may_lack_routes();
+    return is_certain ? call_reason::no_route : call_reason::not_configured;
+  }
+  if (!route->is_readable) {
+    return call_reason::not_configured;
   }
   const caller_fields caller_info = dialect.read_caller(request.fields);
   if (caller_info.is_malformed) {
--- a/nutmegarch/node/store_synchronizer.cpp
+++ b/nutmegarch/node/store_synchronizer.cpp
@@ -356,13 +356,17 @@
                         {"error", std::get<membership::published_value_error>(parsed).message}});
     return false;
   }
-  const routes::route_configuration& configuration = std::get<routes::route_configuration>(parsed);
+  routes::route_configuration configuration = std::get<routes::route_configuration>(parsed);
   const std::uint64_t in_force = state_.routes ? state_.routes->version() : 0;
   if (state_.routes && configuration.version <= in_force) {
     return false;
   }
+  if (state_.routes) {
+    routes::add_placeholders(*state_.routes, configuration);
+  }
   log_changed_routes(configuration);
   state_.routes = std::make_shared<const routes::route_table>(configuration);
+  log_problems(configuration);
   state_.documents.merge(
       {{configuration_document, configuration.version, position, hash_text(value)}, value});
   observe::log_event(observe::log_level::info, "configuration-in-force",
@@ -396,6 +400,29 @@
   }
 }
 
+void store_synchronizer::log_problems(const routes::route_configuration& configuration) {
+  int logged = 0;
+  for (const routes::configuration_problem& problem : configuration.problems) {
+    state_.metrics.add("configuration_problems");
+    if (++logged <= max_logged_routes) {
+      observe::log_event(observe::log_level::warning, "configuration-problem",
+                         {{"version", std::to_string(configuration.version)},
+                          {"resource", problem.resource},
+                          {"problem", problem.message}});
+    }
+  }
+  for (const std::string& name : state_.routes->organisations().with_shared_keys()) {
+    state_.metrics.add("configuration_problems");
+    if (++logged <= max_logged_routes) {
+      observe::log_event(
+          observe::log_level::warning, "configuration-problem",
+          {{"version", std::to_string(configuration.version)},
+           {"resource", "organisation " + name},
+           {"problem", "another organisation holds one of its keys, which is valid for neither"}});
+    }
+  }
+}
+
 void store_synchronizer::log_changed_routes(const routes::route_configuration& next) const {
   int logged = 0;
   for (const routes::route& route : next.routes) {
--- a/nutmegarch/node/store_synchronizer.h
+++ b/nutmegarch/node/store_synchronizer.h
@@ -90,6 +90,8 @@
   /// Logs when the view becomes confirmed or ceases to be. Requires the state's lock.
   void log_confirmation(const char* source);
   void log_changed_routes(const routes::route_configuration& next) const;
+  /// Logs and counts what of the configuration just put in force was not taken over.
+  void log_problems(const routes::route_configuration& configuration);
   /// Sets the services that a new configuration names, and applies the entries again if they have changed.
   void set_named_services(const routes::route_configuration& configuration, const std::string& from);
   /// Removes the configuration from the items and applies it, when it is among them. Returns true when it was
--- a/nutmegarch/routes/route.h
+++ b/nutmegarch/routes/route.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "nutmegarch/core/time.h"
+#include "nutmegarch/organisations/organisation.h"
 
 namespace nutmegarch::routes {
 
@@ -39,6 +40,11 @@
   int priority = 0;
   /// Number of targets that one request may be sent to.
   int max_attempts = 1;
+  /// True when requests need no key even if the configuration names organisations.
+  bool key_exempt = false;
+  /// False when only host and prefix of the published entry could be read. Its requests are refused: a route
+  /// with a shorter prefix could send them to a wrong service.
+  bool is_readable = true;
 
   friend bool operator==(const route&, const route&) = default;
 };
@@ -56,6 +62,13 @@
   duration idle_timeout = std::chrono::seconds(60);
 };
 
+/// A published resource that was not taken over as it is.
+struct configuration_problem {
+  /// Type and name of the resource, for logs. Never holds a key.
+  std::string resource;
+  std::string message;
+};
+
 /// The routing configuration that the operator publishes.
 struct route_configuration {
   /// A newer configuration has a larger version.
@@ -63,6 +76,13 @@
   std::vector<route> routes;
   std::map<std::string, service_options> services;
   request_limits limits;
+  /// Organisations whose requests carry a key; empty if the deployment has none.
+  std::vector<organisations::organisation> organisations;
+  std::vector<configuration_problem> problems;
+  /// Names of routes of which not even host and prefix could be read. The name is empty if it is unreadable.
+  std::vector<std::string> unreadable_routes;
+  /// False when an organisation could not be read, so that a key which is not known may be one of its keys.
+  bool has_all_organisations = true;
 };
 
 }  // namespace nutmegarch::routes
--- a/nutmegarch/routes/route_table.cpp
+++ b/nutmegarch/routes/route_table.cpp
@@ -28,7 +28,8 @@
   return text;
 }
 
-route_table::route_table(route_configuration configuration) : configuration_(std::move(configuration)) {
+route_table::route_table(route_configuration configuration)
+    : configuration_(std::move(configuration)), organisations_(std::move(configuration_.organisations)) {
   for (std::size_t i = 0; i < configuration_.routes.size(); ++i) {
     const route& entry = configuration_.routes.at(i);
     by_host_and_prefix_.emplace(lower_case_host(entry.host) + '\n' + entry.prefix, i);
@@ -54,6 +55,20 @@
   return nullptr;
 }
 
+void add_placeholders(const route_table& previous, route_configuration& next) {
+  for (const std::string& name : next.unreadable_routes) {
+    const route* const known = previous.find_by_name(name);
+    if (known != nullptr) {
+      route placeholder;
+      placeholder.name = known->name;
+      placeholder.host = known->host;
+      placeholder.prefix = known->prefix;
+      placeholder.is_readable = false;
+      next.routes.push_back(std::move(placeholder));
+    }
+  }
+}
+
 const route* route_table::find_by_name(const std::string& name) const {
   auto found = by_name_.find(name);
   return found == by_name_.end() ? nullptr : &configuration_.routes.at(found->second);
