--- a/nutmegarch/core/call.cpp
+++ b/nutmegarch/core/call.cpp
@@ -34,12 +34,37 @@
 
 const char* name_of(call_reason reason) {
   constexpr std::array<const char*, static_cast<std::size_t>(last_call_reason) + 1> names = {
-      "none",           "shed-level",      "shed-rule",     "rate-rule",       "concurrency-rule",
-      "queue-full",     "deadline",        "leaving",       "no-target",       "retry-budget",
-      "quarantined",    "connection-lost", "cancelled",     "ticket-required", "ticket-foreign",
-      "ticket-expired", "ticket-sealed",   "registry-full", "revalidating",    "target-error",
-      "too-large",      "not-configured",  "no-route",      "malformed",       "target-refused",
-      "other-instance", "target-limit"};
+      "none",
+      "shed-level",
+      "shed-rule",
+      "rate-rule",
+      "concurrency-rule",
+      "queue-full",
+      "deadline",
+      "leaving",
+      "no-target",
+      "retry-budget",
+      "quarantined",
+      "connection-lost",
+      "cancelled",
+      "ticket-required",
+      "ticket-foreign",
+      "ticket-expired",
+      "ticket-sealed",
+      "registry-full",
+      "revalidating",
+      "target-error",
+      "too-large",
+      "not-configured",
+      "no-route",
+      "malformed",
+      "target-refused",
+      "other-instance",
+      "target-limit",
+      "unknown-key",
+      "unconfirmed-key",
+      "over-allowance",
+      "unknown-allowance"};
   return names.at(static_cast<std::size_t>(reason));
 }
 
--- a/nutmegarch/core/call.h
+++ b/nutmegarch/core/call.h
@@ -63,11 +63,19 @@
   /// The process at the address is not the target instance that the call is for.
   other_instance,
   /// The target takes only a limited rate of requests, and the call would have to wait too long.
-  target_limit
+  target_limit,
+  /// No organisation holds the key of the request.
+  unknown_key,
+  /// The node can't tell whether the key of the request is still valid.
+  unconfirmed_key,
+  /// The organisation has used up its allowance.
+  over_allowance,
+  /// The node that keeps the organisation's allowance can't be reached.
+  unknown_allowance
 };
 
 /// The last enumerator of call_reason, for range checks of received values.
-constexpr call_reason last_call_reason = call_reason::target_limit;
+constexpr call_reason last_call_reason = call_reason::unknown_allowance;
 
 /// Identifier of a request, shared by all calls of its call chain (the W3C trace id).
 struct request_id {
@@ -134,6 +142,8 @@
   bool inner = false;
   /// Rate of the target that the sender has learned from the target's answers; nullopt without one.
   std::optional<target_rate> known_target_rate;
+  /// Name of the caller's organisation; empty without one.
+  std::string organisation;
 };
 
 /// Threshold of importance: calls at or above `cutoff` on the scale of level_position() are rejected.
--- a/nutmegarch/core/message.cpp
+++ b/nutmegarch/core/message.cpp
@@ -20,10 +20,14 @@
 }
 
 void set_header(headers& fields, const std::string& name, const std::string& value) {
+  remove_header(fields, name);
+  fields.push_back({name, value});
+}
+
+void remove_header(headers& fields, const std::string& name) {
   fields.erase(std::remove_if(fields.begin(), fields.end(),
                               [&](const header& field) { return equal_ignoring_case(field.name, name); }),
                fields.end());
-  fields.push_back({name, value});
 }
 
 }  // namespace nutmegarch
--- a/nutmegarch/core/message.h
+++ b/nutmegarch/core/message.h
@@ -39,6 +39,9 @@
 /// Adds a header after removing all headers with the same name, ignoring case.
 void set_header(headers& fields, const std::string& name, const std::string& value);
 
+/// Removes all headers with this name, ignoring case.
+void remove_header(headers& fields, const std::string& name);
+
 /// True when both names are equal, ignoring the case of ASCII letters.
 bool equal_ignoring_case(const std::string& left, const std::string& right);
 
--- a/nutmegarch/membership/published_reader.h
+++ b/nutmegarch/membership/published_reader.h
@@ -155,6 +155,8 @@
   }
   /// When the request in progress was sent.
   time_point sent() const { return sent_; }
+  /// This node has read all changes up to this position itself; not known before the first listing.
+  const store_position& watched_position() const { return watched_position_; }
   /// Number of consecutive failures.
   int failures() const { return failures_; }
 
--- a/nutmegarch/node/call_builder.h
+++ b/nutmegarch/node/call_builder.h
@@ -24,6 +24,8 @@
   std::optional<std::uint16_t> retry_budget;
   /// Largest number of attempts, set by a published route; 0 for the node's own setting.
   std::size_t max_attempts = 0;
+  /// Requests that the caller's organisation may make; without a limit if it has none.
+  organisations::allowance allowance;
   /// When the caller itself stops waiting. Not earlier than `deadline`.
   time_point caller_deadline = never;
 };
--- a/nutmegarch/node/control_path.cpp
+++ b/nutmegarch/node/control_path.cpp
@@ -57,6 +57,7 @@
 }
 
 void control_path::on_tick() {
+  const std::string confirming_peer = published_ ? published_->on_tick() : std::string();
   std::vector<std::string> due;
   bool should_read = false;
   bool is_reader = false;
@@ -79,6 +80,9 @@
   for (const std::string& address : due) {
     exchange_with(address, {});
   }
+  if (!confirming_peer.empty()) {
+    exchange_with(confirming_peer, {});
+  }
   send_due_updates();
   if (should_read) {
     state_.events.add(observe::event_kind::configuration_silent, {}, "",
@@ -348,28 +352,31 @@
   const bool sent_digest = !offer.digest.empty();
   offer.documents = std::move(documents);
   state_.metrics.add("exchanges");
+  const time_point asked = state_.clock.now();
   peers_.exchange(address, std::move(offer),
-                  [self = shared_from_this(), address, sent_documents,
-                   sent_digest](const result<protocol::peer_exchange, protocol::peer_error>& outcome) {
+                  [self = shared_from_this(), address, sent_documents, sent_digest,
+                   asked](const result<protocol::peer_exchange, protocol::peer_error>& outcome) {
                     {
                       const std::lock_guard<std::mutex> lock(self->state_.mutex);
                       self->state_.gossip.on_exchanged(address, succeeded(outcome));
                     }
                     if (succeeded(outcome)) {
                       self->on_reply(address, std::get<protocol::peer_exchange>(outcome), sent_documents,
-                                     sent_digest);
+                                     sent_digest, asked);
                     }
                   });
 }
 
 void control_path::on_reply(const std::string& address, const protocol::peer_exchange& reply,
-                            bool sent_documents, bool sent_digest) {
+                            bool sent_documents, bool sent_digest, time_point asked) {
   const bool has_changed = merge(reply);
   std::vector<membership::document> missing_documents;
   {
     const std::lock_guard<std::mutex> lock(state_.mutex);
     missing_documents = state_.documents.newer_than(reply.digest);
     state_.revalidating_until = time_point{};
+    state_.configuration_age.on_peer(asked, reply.configuration.age,
+                                     reply.configuration.version > state_.configuration_version());
     if (published_ && sent_digest) {
       published_->on_peer_view(reply.confirmed);
     }
@@ -393,7 +400,7 @@
   if (published_) {
     offer.confirmed = published_->confirmed();
     offer.notice = published_->notice();
-    offer.configuration_version = state_.configuration_version();
+    offer.configuration = state_.configuration(state_.clock.now());
   }
   // A node that can read the store needs no documents from its peers, and large ones would fill the links.
   if (published_ && !published_->needs_peers()) {
@@ -430,7 +437,7 @@
   if (published_) {
     published_->on_peer_change(from.confirmed);
     published_->on_peer_notice(from.notice);
-    published_->on_peer_version(from.configuration_version);
+    published_->on_peer_version(from.configuration.version);
   }
   bool has_changed = false;
   for (const membership::document& offered : from.documents) {
--- a/nutmegarch/node/control_path.h
+++ b/nutmegarch/node/control_path.h
@@ -54,9 +54,9 @@
   void send_due_updates();
   /// Sends an exchange to a peer, with the documents that it is known to lack.
   void exchange_with(const std::string& address, std::vector<membership::document> documents);
-  /// `sent_documents` and `sent_digest` tell what the offer contained.
+  /// `sent_documents` and `sent_digest` tell what the offer contained, and `asked` when it was sent.
   void on_reply(const std::string& address, const protocol::peer_exchange& reply, bool sent_documents,
-                bool sent_digest);
+                bool sent_digest, time_point asked);
   protocol::peer_exchange make_offer() const;
   /// Applies and passes on, on a worker thread, what a peer has changed.
   void post_change();
--- a/nutmegarch/node/edge_dialect.h
+++ b/nutmegarch/node/edge_dialect.h
@@ -14,6 +14,8 @@
   std::string attempt_id;
   /// How long the caller waits for the answer; empty if it sent no timeout.
   std::optional<duration> timeout;
+  /// Key with which the caller identifies its organisation; empty if it sent none. It must not be logged.
+  std::string key;
   /// Whether a field could not be parsed.
   bool is_malformed = false;
 };
@@ -26,6 +28,8 @@
   std::string instance;
   /// Service on whose host the request was made.
   std::string caller;
+  /// Name of the caller's organisation; empty without one.
+  std::string organisation;
 };
 
 /// Load that a target reports with an answer.
@@ -64,6 +68,8 @@
   virtual ~edge_dialect() = default;
 
   virtual caller_fields read_caller(const headers& fields) const = 0;
+  /// Removes the caller's key and the organisation that it claims to be, so that neither is passed on.
+  virtual void remove_identity(headers& fields) const = 0;
   /// Sets the fields of a request to the target and replaces those that the caller sent.
   virtual void write_target_fields(const target_fields& target, headers& fields) const = 0;
   virtual target_answer_fields read_target_answer(const answer_message& answer) const = 0;
--- a/nutmegarch/node/inbound_path.cpp
+++ b/nutmegarch/node/inbound_path.cpp
@@ -635,6 +635,7 @@
   const time_point now = state_.clock.now();
   content.report = {state_.receiver.load(), state_.receiver.level(), state_.receiver.leaving(),
                     state_.incarnation, state_.receiver.rate(now)};
+  content.configuration = state_.configuration(now);
   content.route_level = state_.downstream.lowest_downstream_level(route, state_.sender, now);
   content.has_downstream_calls = state_.dialect ? state_.downstream.has_downstream_calls(route)
                                                 : !state_.settings.identity.called_services.empty();
--- a/nutmegarch/node/node.cpp
+++ b/nutmegarch/node/node.cpp
@@ -20,8 +20,10 @@
       workers_(settings.identity.workers == 1 ? network_io_ : pool_io_),
       peers_(network_io_, settings.peers),
       inbound_(std::make_shared<inbound_path>(state_, workers_)),
-      outbound_(std::make_shared<outbound_path>(state_, inbound_, peers_)),
-      published_(adapter ? std::make_shared<store_synchronizer>(state_, adapter->make_source(workers_))
+      allowances_(std::make_shared<allowance_path>(state_, peers_)),
+      outbound_(std::make_shared<outbound_path>(state_, inbound_, allowances_, peers_)),
+      published_(adapter ? std::make_shared<store_synchronizer>(state_, adapter->make_source(workers_),
+                                                                adapter->make_source(workers_), allowances_)
                          : nullptr),
       control_(std::make_shared<control_path>(state_, workers_, peers_, published_)),
       callers_server_(workers_, settings.callers, *outbound_),
@@ -122,6 +124,10 @@
   inbound_->limit_answers(calls, within);
 }
 
+protocol::allowance_reply node::on_allowance_request(const std::string& organisation, int wanted) {
+  return allowances_->on_request(organisation, wanted);
+}
+
 protocol::peer_exchange node::on_exchange(protocol::peer_exchange offer) {
   return control_->on_exchange(offer);
 }
@@ -162,10 +168,8 @@
   }
   inbound_->on_tick();
   outbound_->on_tick();
+  allowances_->on_tick();
   control_->on_tick();
-  if (published_) {
-    published_->on_tick();
-  }
   memory_.on_tick(now);
   advance_leaving(now);
   observe::flush_log();
--- a/nutmegarch/node/node.h
+++ b/nutmegarch/node/node.h
@@ -45,6 +45,7 @@
   void on_cancel(std::uint64_t exchange) override;
   void on_ticket_request(std::uint64_t exchange, protocol::peer_call call) override;
   void on_answer_limit(const std::vector<request_id>& calls, duration within) override;
+  protocol::allowance_reply on_allowance_request(const std::string& organisation, int wanted) override;
   protocol::peer_exchange on_exchange(protocol::peer_exchange offer) override;
 
  private:
@@ -64,6 +65,7 @@
   boost::asio::io_context& workers_;
   protocol::peer_network peers_;
   std::shared_ptr<inbound_path> inbound_;
+  std::shared_ptr<allowance_path> allowances_;
   std::shared_ptr<outbound_path> outbound_;
   /// Null where the node reads the product's own configuration service.
   std::shared_ptr<store_synchronizer> published_;
--- a/nutmegarch/node/node_settings.cpp
+++ b/nutmegarch/node/node_settings.cpp
@@ -119,6 +119,16 @@
   reader.read_number("/routing/link_kept_for_orders", to.link.reserved_for_orders, 0, 1);
 }
 
+void read_organisations(settings::json_reader& reader, organisation_settings& to) {
+  reader.read_duration("/organisations/key_lifetime", to.keys.max_age, milliseconds(0), hours(24));
+  reader.read_duration("/organisations/window", to.ledger.window, milliseconds(100), hours(1));
+  reader.read_number("/organisations/extra_share", to.ledger.extra_share, 0, 10);
+  reader.read_number("/organisations/extra_requests", to.ledger.extra_requests, 0, 1e6);
+  reader.read_duration("/organisations/lease", to.cache.lease, milliseconds(1), minutes(1));
+  to.ledger.lease = to.cache.lease;
+  reader.read_duration("/organisations/keeper_timeout", to.keeper_timeout, milliseconds(1), minutes(1));
+}
+
 void read_fleet(settings::json_reader& reader, node_settings& to) {
   reader.read_duration("/orders/lifetime", to.orders.lifetime, seconds(1), hours(24));
   reader.read_integer("/orders/capacity", to.orders.capacity, 1, 10'000'000);
@@ -163,6 +173,7 @@
   read_admission(reader, loaded.admission);
   read_routing(reader, loaded.routing);
   read_fleet(reader, loaded);
+  read_organisations(reader, loaded.organisations);
   std::vector<settings::settings_error> errors = reader.finish();
   if (!errors.empty()) {
     return errors;
--- a/nutmegarch/node/node_settings.h
+++ b/nutmegarch/node/node_settings.h
@@ -7,11 +7,14 @@
 
 #include "nutmegarch/http/client_pool.h"
 #include "nutmegarch/http/server.h"
+#include "nutmegarch/membership/configuration_age.h"
 #include "nutmegarch/membership/gossip_schedule.h"
 #include "nutmegarch/membership/published_reader.h"
 #include "nutmegarch/membership/version_lag.h"
 #include "nutmegarch/membership/view_confirmation.h"
 #include "nutmegarch/observe/log.h"
+#include "nutmegarch/organisations/allowance_cache.h"
+#include "nutmegarch/organisations/allowance_ledger.h"
 #include "nutmegarch/policy/crash_registry.h"
 #include "nutmegarch/policy/order_registry.h"
 #include "nutmegarch/policy/receiver.h"
@@ -103,6 +106,18 @@
   double bytes_per_second = 0;
 };
 
+/// Keys and allowances of the callers' organisations. They act only if the configuration names organisations.
+struct organisation_settings {
+  /// How long a key may still be used after it was taken away.
+  membership::configuration_age_settings keys;
+  organisations::allowance_cache_settings cache;
+  organisations::allowance_ledger_settings ledger;
+  /// How long the node that keeps an allowance has to answer before the next one is asked.
+  duration keeper_timeout = std::chrono::milliseconds(250);
+  /// How long a keeper that did not answer is not asked again.
+  duration keeper_pause = std::chrono::seconds(1);
+};
+
 /// All settings of a node, with their defaults. docs/SETTINGS.md lists them.
 struct node_settings {
   identity_settings identity;
@@ -122,6 +137,7 @@
   membership::published_reader_settings store;
   membership::version_lag_settings configuration_lag;
   membership::view_confirmation_settings view;
+  organisation_settings organisations;
   fleet_retry_settings fleet_retries;
   fleet_link_settings fleet_link;
   /// Region of each failure domain.
--- a/nutmegarch/node/node_state.cpp
+++ b/nutmegarch/node/node_state.cpp
@@ -19,6 +19,7 @@
       endpoints({own_settings.identity.host, own_settings.identity.domain, own_settings.identity.region}),
       gossip(own_settings.gossip, random),
       view(own_settings.view),
+      configuration_age(own_settings.organisations.keys),
       stop({own_settings.lifecycle.leave_grace, own_settings.lifecycle.max_leave_time}) {}
 
 }  // namespace nutmegarch::node
--- a/nutmegarch/node/node_state.h
+++ b/nutmegarch/node/node_state.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <mutex>
 
+#include "nutmegarch/membership/configuration_age.h"
 #include "nutmegarch/membership/document_table.h"
 #include "nutmegarch/membership/endpoint_table.h"
 #include "nutmegarch/membership/gossip_schedule.h"
@@ -21,6 +22,7 @@
 #include "nutmegarch/policy/inner_route_detector.h"
 #include "nutmegarch/policy/rule_enforcer.h"
 #include "nutmegarch/policy/stop_schedule.h"
+#include "nutmegarch/protocol/peer_messages.h"
 #include "nutmegarch/routes/route_table.h"
 #include "nutmegarch/routes/weighted_round_robin.h"
 #include "nutmegarch/rules/rules_in_force.h"
@@ -64,6 +66,8 @@
   std::shared_ptr<const routes::route_table> routes;
   /// Whether the copy of the platform's store may be used.
   membership::view_confirmation view;
+  /// For how long the configuration in force is known to have been the newest one.
+  membership::configuration_age configuration_age;
   /// Where the copy of the platform's store stands.
   membership::store_position store_position;
   routes::weighted_round_robin splits;
@@ -82,6 +86,12 @@
   /// Version of the routes in force; 0 if there are none. The caller holds the lock.
   std::uint64_t configuration_version() const { return routes ? routes->version() : 0; }
 
+  /// What peers are told of the configuration in force. The caller holds the lock.
+  protocol::configuration_state configuration(time_point now) const {
+    const bool is_known = routes && configuration_age.is_limited();
+    return {configuration_version(), is_known ? configuration_age.age(now) : std::nullopt};
+  }
+
   /// Whether calls are refused because the view may be outdated. The caller holds the lock.
   bool is_revalidating(time_point now) const { return now < revalidating_until; }
 };
--- a/nutmegarch/node/outbound_path.cpp
+++ b/nutmegarch/node/outbound_path.cpp
@@ -50,20 +50,23 @@
 }  // namespace
 
 outbound_path::outbound_path(node_state& state, std::shared_ptr<inbound_path> local,
-                             protocol::peer_network& peers)
-    : state_(state), local_(std::move(local)), peers_(peers) {}
+                             std::shared_ptr<allowance_path> allowances, protocol::peer_network& peers)
+    : state_(state), local_(std::move(local)), allowances_(std::move(allowances)), peers_(peers) {}
 
 void outbound_path::on_request(std::uint64_t exchange, request_message request, answer_callback answer) {
   ++started_calls_;
   pending_call pending;
   pending.key = exchange;
-  pending.request = std::make_shared<const request_message>(std::move(request));
   pending.answer = std::move(answer);
-  built_call& built = pending.built;
   if (state_.dialect) {
-    start_routed(std::move(pending));
+    const caller_fields caller = state_.dialect->read_caller(request.fields);
+    state_.dialect->remove_identity(request.fields);
+    pending.request = std::make_shared<const request_message>(std::move(request));
+    start_routed(std::move(pending), caller);
     return;
   }
+  pending.request = std::make_shared<const request_message>(std::move(request));
+  built_call& built = pending.built;
   bool needs_ticket = false;
   {
     const std::lock_guard<std::mutex> lock(state_.mutex);
@@ -92,6 +95,9 @@
 }
 
 void outbound_path::on_disconnect(std::uint64_t exchange) {
+  if (allowances_->cancel(exchange)) {
+    return;
+  }
   policy::sender_actions actions;
   {
     const std::lock_guard<std::mutex> lock(state_.mutex);
@@ -155,6 +161,9 @@
 }
 
 bool outbound_path::is_idle() const {
+  if (!allowances_->is_idle()) {
+    return false;
+  }
   const std::lock_guard<std::mutex> lock(state_.mutex);
   return calls_.empty();
 }
@@ -170,31 +179,61 @@
   return total;
 }
 
-void outbound_path::start_routed(pending_call pending) {
+void outbound_path::start_routed(pending_call pending, const caller_fields& caller) {
   call_reason reject_reason = call_reason::none;
   {
     const std::lock_guard<std::mutex> lock(state_.mutex);
     const time_point now = state_.clock.now();
-    std::variant<built_call, call_reason> built =
-        build_routed_call(state_, *state_.dialect, *pending.request, now);
+    std::variant<built_call, call_reason> built = build_routed_call(state_, caller, *pending.request, now);
     if (std::holds_alternative<built_call>(built)) {
       pending.built = std::get<built_call>(std::move(built));
       assign_parent(pending.built, now);
     } else {
       reject_reason = std::get<call_reason>(built);
-      state_.metrics.on_outbound(call_class::browse, call_outcome::not_run, reject_reason, duration{});
-      state_.requests.on_rejected(state_.dialect->read_caller(pending.request->fields).attempt_id,
-                                  pending.request->target, reject_reason, state_.configuration_version(),
-                                  state_.clock.now());
     }
   }
   if (reject_reason != call_reason::none) {
-    pending.answer(make_routed_refusal(call_outcome::not_run, reject_reason, unrouted_retry_after));
+    reject(pending, reject_reason, unrouted_retry_after);
+    return;
+  }
+  if (pending.built.allowance.rate > 0) {
+    const std::string organisation = pending.built.context.organisation;
+    const std::uint64_t key = pending.key;
+    allowances_->acquire(
+        key, organisation,
+        [self = shared_from_this(), pending = std::move(pending)](const allowance_path::decision& decided) {
+          self->on_allowance_decided(pending, decided);
+        });
     return;
   }
   start_call(std::move(pending));
 }
 
+void outbound_path::on_allowance_decided(pending_call pending, const allowance_path::decision& decided) {
+  if (std::holds_alternative<time_point>(decided)) {
+    pending.granted_until = std::get<time_point>(decided);
+    start_call(std::move(pending));
+    return;
+  }
+  duration retry_after{};
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    retry_after = choose_retry_after(pending.built.caller_deadline, state_.clock.now());
+  }
+  reject(pending, std::get<call_reason>(decided), retry_after);
+}
+
+void outbound_path::reject(const pending_call& pending, call_reason reason, duration retry_after) {
+  {
+    const std::lock_guard<std::mutex> lock(state_.mutex);
+    state_.metrics.on_outbound(call_class::browse, call_outcome::not_run, reason, duration{});
+    state_.requests.on_rejected(state_.dialect->read_caller(pending.request->fields).attempt_id,
+                                pending.request->target, reason, state_.configuration_version(),
+                                state_.clock.now());
+  }
+  pending.answer(make_routed_refusal(call_outcome::not_run, reason, retry_after));
+}
+
 void outbound_path::assign_parent(built_call& built, time_point now) {
   call_context& context = built.context;
   context.inner = state_.sender.is_inner_route(context.service, context.route, now);
@@ -218,8 +257,8 @@
   state_.downstream.on_downstream_call(parent->context.route, context.service, context.route);
 }
 
-duration outbound_path::choose_retry_after(const policy::outbound_call& call, time_point now) {
-  const duration time_left = call.caller_deadline == never ? max_retry_after : call.caller_deadline - now;
+duration outbound_path::choose_retry_after(time_point caller_deadline, time_point now) {
+  const duration time_left = caller_deadline == never ? max_retry_after : caller_deadline - now;
   const duration max_delay = std::min(max_retry_after, time_left / 3);
   return from_seconds(to_seconds(std::max(max_delay, duration{})) * (0.4 + 0.6 * state_.random.uniform()));
 }
@@ -247,6 +286,7 @@
     added.parent_key = pending.built.likely_parent_key;
     added.request = std::move(pending.request);
     added.answer = std::move(pending.answer);
+    added.granted_until = pending.granted_until;
     calls_.emplace(pending.key, std::move(added));
     const bool has_running_parent = pending.built.parent || pending.built.likely_parent_key != 0;
     const time_point now = state_.clock.now();
@@ -416,6 +456,9 @@
     completed = std::move(found->second);
     calls_.erase(found);
     local_->on_child_ended(completed.parent_key, state_.clock.now());
+    if (completed.granted_until && action.outcome == call_outcome::not_run) {
+      allowances_->give_back(action.call->context.organisation, *completed.granted_until);
+    }
     if (state_.dialect) {
       state_.requests.on_completed(*action.call, action.outcome, action.reason,
                                    state_.configuration_version(), state_.clock.now());
@@ -430,7 +473,7 @@
     if (state_.dialect) {
       const std::lock_guard<std::mutex> lock(state_.mutex);
       message = make_routed_refusal(action.outcome, action.reason,
-                                    choose_retry_after(*action.call, state_.clock.now()));
+                                    choose_retry_after(action.call->caller_deadline, state_.clock.now()));
     } else {
       message = http::make_problem(action.outcome, action.reason, completed.last_rule);
     }
@@ -463,6 +506,9 @@
       answer = to_attempt_answer(content);
       // Before the answer is passed on: from then on the caller may rely on this node's knowing it.
       answer.target_leaving = take_departure(content, *to, found->second.call->context);
+      state_.configuration_age.on_peer(found->second.call->attempts.at(attempt).sent,
+                                       content.configuration.age,
+                                       content.configuration.version > state_.configuration_version());
       found->second.last_rule = content.rule;
       found->second.answers[attempt] = content;
     } else {
--- a/nutmegarch/node/outbound_path.h
+++ b/nutmegarch/node/outbound_path.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 
 #include "nutmegarch/http/server.h"
+#include "nutmegarch/node/allowance_path.h"
 #include "nutmegarch/node/call_builder.h"
 #include "nutmegarch/node/inbound_path.h"
 #include "nutmegarch/protocol/peer_network.h"
@@ -17,7 +18,8 @@
 /// Any thread may call the public functions.
 class outbound_path final : public http::request_handler, public std::enable_shared_from_this<outbound_path> {
  public:
-  outbound_path(node_state& state, std::shared_ptr<inbound_path> local, protocol::peer_network& peers);
+  outbound_path(node_state& state, std::shared_ptr<inbound_path> local,
+                std::shared_ptr<allowance_path> allowances, protocol::peer_network& peers);
 
   void on_request(std::uint64_t exchange, request_message request, answer_callback answer) override;
   void on_disconnect(std::uint64_t exchange) override;
@@ -56,6 +58,8 @@
     std::string last_rule;
     /// Key of the inbound call for which the local target makes this call; 0 for none.
     std::uint64_t parent_key = 0;
+    /// Until when the permission that the call took of an allowance may be given back.
+    std::optional<time_point> granted_until;
   };
 
   /// A call built from its request, before its first attempt.
@@ -64,17 +68,23 @@
     built_call built;
     std::shared_ptr<const request_message> request;
     answer_callback answer;
+    /// As in open_call.
+    std::optional<time_point> granted_until;
   };
 
   void start_call(pending_call pending);
   /// Starts a call according to the published routes, or rejects it.
-  void start_routed(pending_call pending);
+  void start_routed(pending_call pending, const caller_fields& caller);
+  /// Starts a call that has the permission of its organisation's allowance, or rejects it.
+  void on_allowance_decided(pending_call pending, const allowance_path::decision& decided);
+  /// Answers a request that is not started.
+  void reject(const pending_call& pending, call_reason reason, duration retry_after);
   /// Detects whether the local target makes the call and for which inbound call, and copies class, shed rank
   /// and depth from that parent. The caller holds the state's lock.
   void assign_parent(built_call& built, time_point now);
   /// Delay after which the caller of a refused call may retry. Randomized, so that refused callers do not
   /// retry at the same time. The caller holds the state's lock.
-  duration choose_retry_after(const policy::outbound_call& call, time_point now);
+  duration choose_retry_after(time_point caller_deadline, time_point now);
   /// Requests an order ticket from the ticket issuer.
   void fetch_ticket(pending_call pending);
   /// `issuer` is the host that the ticket was requested from.
@@ -96,6 +106,7 @@
 
   node_state& state_;
   std::shared_ptr<inbound_path> local_;
+  std::shared_ptr<allowance_path> allowances_;
   protocol::peer_network& peers_;
   std::atomic<std::uint64_t> started_calls_{0};
 
--- a/nutmegarch/node/routed_call.cpp
+++ b/nutmegarch/node/routed_call.cpp
@@ -31,6 +31,10 @@
       return 400;
     case call_reason::too_large:
       return 413;
+    case call_reason::unknown_key:
+      return 401;
+    case call_reason::over_allowance:
+      return 429;
     default:
       break;
   }
@@ -40,6 +44,29 @@
   return reason == call_reason::deadline || reason == call_reason::cancelled ? 504 : 502;
 }
 
+/// The organisation of a request by its key, null if the request needs none, or why the request is rejected.
+std::variant<const organisations::organisation*, call_reason> identify(const node_state& state,
+                                                                       const routes::route& route,
+                                                                       const std::string& key,
+                                                                       time_point now) {
+  using identity = std::variant<const organisations::organisation*, call_reason>;
+  if (!state.routes->has_organisations()) {
+    return identity(nullptr);
+  }
+  const bool may_take_keys = state.configuration_age.may_take_keys(now);
+  const organisations::organisation* const holder =
+      key.empty() || !may_take_keys ? nullptr : state.routes->organisations().find_by_key(key);
+  if (holder != nullptr || route.key_exempt) {
+    return identity(holder);
+  }
+  if (!may_take_keys) {
+    return call_reason::unconfirmed_key;
+  }
+  // An old view may lack a key that was added since.
+  const bool is_certain = state.view.is_confirmed() && !state.routes->may_lack_organisations();
+  return is_certain ? call_reason::unknown_key : call_reason::not_configured;
+}
+
 /// Formats a duration as seconds with three decimals, for example "0.250".
 std::string to_seconds_text(duration value) {
   char text[32];
@@ -49,7 +76,7 @@
 
 }  // namespace
 
-std::variant<built_call, call_reason> build_routed_call(node_state& state, const edge_dialect& dialect,
+std::variant<built_call, call_reason> build_routed_call(node_state& state, const caller_fields& caller_info,
                                                         const request_message& request, time_point now) {
   if (!state.routes || !state.view.may_serve(now)) {
     return call_reason::not_configured;
@@ -63,20 +90,30 @@
   if (!route->is_readable) {
     return call_reason::not_configured;
   }
-  const caller_fields caller_info = dialect.read_caller(request.fields);
   if (caller_info.is_malformed) {
     return call_reason::malformed;
   }
 
+  const std::variant<const organisations::organisation*, call_reason> identified =
+      identify(state, *route, caller_info.key, now);
+  if (std::holds_alternative<call_reason>(identified)) {
+    return std::get<call_reason>(identified);
+  }
+  const organisations::organisation* const caller = std::get<const organisations::organisation*>(identified);
+
   built_call built;
   call_context& context = built.context;
+  if (caller != nullptr) {
+    context.organisation = caller->name;
+    built.allowance = caller->limit;
+  }
   context.attempt_id = caller_info.attempt_id;
   context.id = caller_info.attempt_id.empty() ? request_id{state.random.bits(), state.random.bits()}
                                               : request_id_for_attempt(caller_info.attempt_id);
   context.service = state.splits.choose(*route);
   context.route = route->name;
   context.caller = state.settings.identity.service;
-  context.cls = class_of(route->priority);
+  context.cls = class_of(caller != nullptr ? caller->priority.value_or(route->priority) : route->priority);
   context.shed_rank = shed_rank_of(context.id);
   context.idempotent = route->idempotent;
   context.fingerprint = hash_text(request.body, hash_text(context.caller + ' ' + request.method + ' ' +
@@ -98,7 +135,8 @@
                                            const policy::inbound_call& call, time_point now) {
   request_message target_request = request;
   const duration remaining = call.deadline == never ? duration::max() : call.deadline - now;
-  dialect.write_target_fields({std::max(duration{}, remaining), call.context.instance, call.context.caller},
+  dialect.write_target_fields({std::max(duration{}, remaining), call.context.instance, call.context.caller,
+                               call.context.organisation},
                               target_request.fields);
   return target_request;
 }
@@ -143,7 +181,7 @@
 answer_message make_routed_refusal(call_outcome outcome, call_reason reason, duration retry_after) {
   const int status = status_for(outcome, reason);
   answer_message answer = http::make_problem(status, http::reason_phrase_of(status), name_of(reason));
-  if (status == 503) {
+  if (status == 503 || status == 429) {
     set_header(answer.fields, "Retry-After", to_seconds_text(retry_after));
   }
   return answer;
--- a/nutmegarch/node/routed_call.h
+++ b/nutmegarch/node/routed_call.h
@@ -8,9 +8,9 @@
 
 namespace nutmegarch::node {
 
-/// Builds the call of a request from the published routes. Returns the call, or the reason for which the
-/// request is rejected. Requires the state's lock.
-std::variant<built_call, call_reason> build_routed_call(node_state& state, const edge_dialect& dialect,
+/// Builds the call of a request from the published routes. `caller_info` are the fields that the caller sent
+/// with it. Returns the call, or the reason for which the request is rejected. Requires the state's lock.
+std::variant<built_call, call_reason> build_routed_call(node_state& state, const caller_fields& caller_info,
                                                         const request_message& request, time_point now);
 
 /// Returns the request to send to the target: the caller's request with the target fields of the dialect.
--- a/nutmegarch/node/store_synchronizer.cpp
+++ b/nutmegarch/node/store_synchronizer.cpp
@@ -75,9 +75,18 @@
 }  // namespace
 
 store_synchronizer::store_synchronizer(node_state& state,
-                                       std::unique_ptr<membership::published_source> source)
+                                       std::unique_ptr<membership::published_source> source,
+                                       std::unique_ptr<membership::published_source> confirming_source,
+                                       std::shared_ptr<allowance_path> allowances)
     : state_(state),
       source_(std::move(source)),
+      confirmer_(std::make_shared<configuration_confirmer>(state, std::move(confirming_source),
+                                                           [this](const membership::published_item& item) {
+                                                             accept_configuration(item.value, item.position,
+                                                                                  "store");
+                                                             return is_configuration_read_;
+                                                           })),
+      allowances_(std::move(allowances)),
       store_copy_(state.settings.published),
       reader_(state.settings.store, store_copy_, state.random),
       lag_(state.settings.configuration_lag),
@@ -91,8 +100,10 @@
   return keys;
 }
 
-void store_synchronizer::on_tick() {
+std::string store_synchronizer::on_tick() {
   membership::store_request request;
+  membership::store_position position;
+  bool is_failing = false;
   bool was_silent = false;
   {
     const std::lock_guard<std::mutex> lock(state_.mutex);
@@ -103,18 +114,31 @@
     was_silent = abandon_silent_watch(now);
     log_confirmation("silence");
     request = reader_.next(now);
+    if (request.what == membership::store_request::kind::read_page && request.after_key.empty()) {
+      listing_asked_ = now;
+    }
+    position = reader_.watched_position();
+    is_failing = reader_.failures() > 0;
   }
   if (was_silent) {
     source_->drop_connections();
   }
+  const std::string peer = confirmer_->on_tick(position, is_failing);
   if (request.what == membership::store_request::kind::none) {
-    return;
+    return peer;
   }
   state_.metrics.add("store_calls");
   source_->send(request, [self = shared_from_this(),
                           request](const result<membership::store_answer, membership::store_error>& outcome) {
     self->on_answer(request, outcome);
   });
+  return peer;
+}
+
+void store_synchronizer::confirm_configuration(time_point asked) {
+  if (is_configuration_read_) {
+    state_.configuration_age.on_confirmed(asked);
+  }
 }
 
 void store_synchronizer::on_pause() {
@@ -185,6 +209,7 @@
   }
   bool has_changed = extract_configuration(items);
   const bool is_page = sent_request.what == membership::store_request::kind::read_page;
+  const time_point asked = is_page ? listing_asked_ : reader_.sent();
   const membership::store_position previous_notice = notice();
   const bool hosts_changed = is_page ? reader_.on_page(items, answer.next_key, answer.position, now)
                                      : reader_.on_changes(items, answer.position, now);
@@ -204,6 +229,7 @@
   state_.revalidating_until = time_point{};
   if (reader_.is_current()) {
     state_.view.on_store_answer(now);
+    confirm_configuration(asked);
   }
   log_confirmation(is_page ? "listing" : "watch");
   return has_changed;
@@ -349,6 +375,7 @@
                                               const std::string& from) {
   const result<routes::route_configuration, membership::published_value_error> parsed =
       source_->read_configuration(value);
+  is_configuration_read_ = succeeded(parsed);
   if (!succeeded(parsed)) {
     observe::log_event(observe::log_level::warning, "configuration-refused",
                        {{"from", from},
@@ -375,6 +402,7 @@
                       {"revision", std::to_string(position.revision)},
                       {"era", std::to_string(position.era)},
                       {"routes", std::to_string(state_.routes->size())},
+                      {"organisations", std::to_string(state_.routes->organisations().size())},
                       {"from", from}});
   set_named_services(configuration, from);
   return true;
@@ -528,6 +556,8 @@
   const std::ptrdiff_t place =
       std::distance(addresses.begin(), addresses.lower_bound(state_.settings.listen.peers));
   reader_.set_fleet(addresses.size() + 1, static_cast<std::size_t>(place));
+  confirmer_->set_hosts(hosts);
+  set_keepers(hosts);
   state_.endpoints.on_report({state_.settings.identity.host, state_.incarnation, state_.leaving});
   apply_local_target(hosts);
   update_hosts_document();
@@ -577,6 +607,16 @@
   }
 }
 
+void store_synchronizer::set_keepers(const std::vector<membership::published_host>& hosts) {
+  std::vector<std::string> keepers = {state_.settings.listen.peers};
+  for (const membership::published_host& host : hosts) {
+    if (!host.leaving) {
+      keepers.push_back(host.peer_address);
+    }
+  }
+  allowances_->set_nodes(std::move(keepers));
+}
+
 void store_synchronizer::set_retry_budget_share(std::size_t nodes) {
   const fleet_retry_settings& budget = state_.settings.fleet_retries;
   if (budget.ratio == 0) {
--- a/nutmegarch/node/store_synchronizer.h
+++ b/nutmegarch/node/store_synchronizer.h
@@ -9,6 +9,8 @@
 
 #include "nutmegarch/membership/published_source.h"
 #include "nutmegarch/membership/version_lag.h"
+#include "nutmegarch/node/allowance_path.h"
+#include "nutmegarch/node/configuration_confirmer.h"
 #include "nutmegarch/node/node_state.h"
 #include "nutmegarch/observe/log.h"
 
@@ -18,17 +20,24 @@
 /// the node reads directly or through its peers. Sends the requests that published_reader decides on.
 class store_synchronizer final : public std::enable_shared_from_this<store_synchronizer> {
  public:
-  store_synchronizer(node_state& state, std::unique_ptr<membership::published_source> source);
+  /// Requests to confirm the configuration use `confirming_source`, so that they wait for no other one.
+  store_synchronizer(node_state& state, std::unique_ptr<membership::published_source> source,
+                     std::unique_ptr<membership::published_source> confirming_source,
+                     std::shared_ptr<allowance_path> allowances);
 
   /// Sets the function to call after the store or a peer has changed routes or targets. Call before the
   /// first tick. The listener runs on a worker thread without the state's lock.
-  void set_listener(std::function<void()> listener) { listener_ = std::move(listener); }
+  void set_listener(std::function<void()> listener) {
+    listener_ = std::move(listener);
+    confirmer_->set_listener(listener_);
+  }
 
   /// Calls the listener. Call without the state's lock, on a worker thread, after accept_document() has
   /// applied a document.
   void notify_listener() const;
   /// Call periodically: sends the request that is due, and drops entries whose grace period has ended.
-  void on_tick();
+  /// Returns the address of the peer to exchange with, to learn the age of the configuration; empty for none.
+  std::string on_tick();
   /// Call after the process was suspended: connections may be dead, and the local copy may be stale.
   void on_pause();
   /// True when the store can't be read now, has not confirmed the view of this node, or may not have the
@@ -108,15 +117,22 @@
                         time_point now);
   /// Applies the slots of the target beside this node.
   void apply_local_target(const std::vector<membership::published_host>& hosts);
+  /// Sets the nodes that keep the allowances of organisations.
+  void set_keepers(const std::vector<membership::published_host>& hosts);
   /// Sets this node's share of the fleet's retry budget. `nodes`: the size of the fleet.
   void set_retry_budget_share(std::size_t nodes);
   /// Sets this node's share of the bandwidth of the link between regions. `nodes`: the size of the fleet.
   void set_link_budget_share(std::size_t nodes);
   /// Updates the document with which peers receive the local copy.
   void update_hosts_document();
+  /// The store has answered a question asked at `asked`, and this node has all changes up to then. Requires
+  /// the state's lock.
+  void confirm_configuration(time_point asked);
 
   node_state& state_;
   std::unique_ptr<membership::published_source> source_;
+  std::shared_ptr<configuration_confirmer> confirmer_;
+  std::shared_ptr<allowance_path> allowances_;
   std::function<void()> listener_;
 
   /// All following members are guarded by the state's lock.
@@ -133,6 +149,10 @@
   /// What the published entries of the last listing say about leaving.
   std::map<std::string, bool> leaving_by_instance_;
   bool is_store_reachable_ = true;
+  /// False while the store's configuration can't be read.
+  bool is_configuration_read_ = true;
+  /// When the first page of the listing in progress was asked for.
+  time_point listing_asked_{};
   /// What was logged last.
   bool was_confirmed_ = false;
   membership::store_position newest_change_;
--- a/nutmegarch/protocol/codec.cpp
+++ b/nutmegarch/protocol/codec.cpp
@@ -49,6 +49,25 @@
   return target_rate{per_second, std::max(duration{}, duration(age))};
 }
 
+/// Value of configurationAge for an age that is not known.
+constexpr std::int64_t no_age = 0;
+
+template <typename Builder>
+void write_confirmation(const configuration_state& from, Builder to) {
+  to.setConfigurationVersion(from.version);
+  to.setConfigurationAge(from.age ? std::max<std::int64_t>(1, from.age->count()) : no_age);
+}
+
+template <typename Reader>
+configuration_state read_confirmation(Reader from) {
+  configuration_state state;
+  state.version = from.getConfigurationVersion();
+  if (from.getConfigurationAge() > no_age) {
+    state.age = duration(from.getConfigurationAge());
+  }
+  return state;
+}
+
 void write_stamp(const membership::document_stamp& from, wire::DocumentStamp::Builder to) {
   to.setKey(from.key);
   to.setVersion(from.version);
@@ -85,6 +104,7 @@
   to.setAttemptId(from.attempt_id);
   to.setInstance(from.instance);
   to.setInner(from.inner);
+  to.setOrganisation(from.organisation);
   if (from.known_target_rate) {
     to.setTargetRate(from.known_target_rate->per_second);
     to.setTargetRateAge(from.known_target_rate->age.count());
@@ -129,6 +149,7 @@
   to.attempt_id = to_text(from.getAttemptId());
   to.instance = to_text(from.getInstance());
   to.inner = from.getInner();
+  to.organisation = to_text(from.getOrganisation());
   to.known_target_rate = read_rate(from.getTargetRate(), from.getTargetRateAge());
   call.stamp = from.getStamp();
   return call;
@@ -170,6 +191,7 @@
   if (from.leaving_process_started_ms) {
     to.initTargetLeaving().setStartedMs(*from.leaving_process_started_ms);
   }
+  write_confirmation(from.configuration, to);
   to.setStamp(from.stamp);
 }
 
@@ -196,6 +218,7 @@
   if (from.hasTargetLeaving()) {
     answer.leaving_process_started_ms = std::max<std::int64_t>(0, from.getTargetLeaving().getStartedMs());
   }
+  answer.configuration = read_confirmation(from);
   answer.stamp = from.getStamp();
   return answer;
 }
@@ -209,7 +232,7 @@
   to.setStoreEra(from.confirmed.era);
   to.setNoticeRevision(from.notice.revision);
   to.setNoticeEra(from.notice.era);
-  to.setConfigurationVersion(from.configuration_version);
+  write_confirmation(from.configuration, to);
   capnp::List<wire::DocumentStamp>::Builder digest = to.initDigest(static_cast<unsigned>(from.digest.size()));
   for (std::size_t i = 0; i < from.digest.size(); ++i) {
     write_stamp(from.digest.at(i), digest[static_cast<unsigned>(i)]);
@@ -236,7 +259,7 @@
   // Peers of an earlier version name no eras, so that what they know counts as older.
   exchange.confirmed = {from.getStoreEra(), from.getStoreRevision()};
   exchange.notice = {from.getNoticeEra(), from.getNoticeRevision()};
-  exchange.configuration_version = from.getConfigurationVersion();
+  exchange.configuration = read_confirmation(from);
   for (const wire::DocumentStamp::Reader stamp : from.getDigest()) {
     exchange.digest.push_back(read_stamp(stamp));
   }
--- a/nutmegarch/protocol/peer.capnp
+++ b/nutmegarch/protocol/peer.capnp
@@ -34,6 +34,8 @@
   targetRateAge @21 :Int64;
   # Time for which the sender can still take the answer, since it stops afterwards. 0: no limit.
   answerWithin @22 :Int64;
+  # Name of the caller's organisation; empty without one.
+  organisation @23 :Text;
 }
 
 struct CallId {
@@ -79,6 +81,9 @@
   targetLeaving @18 :Departure;
   # Only targets call the route, while they run other calls.
   innerRoute @19 :Bool;
+  # As in Exchange.
+  configurationVersion @20 :UInt64;
+  configurationAge @21 :Int64;
 }
 
 struct Departure {
@@ -123,6 +128,8 @@
   noticeEra @10 :UInt64;
   # Version of the configuration that the sender has in force; 0 if it has none.
   configurationVersion @11 :UInt64;
+  # This long ago the platform's store had no newer configuration than that. 0: not known.
+  configurationAge @12 :Int64;
 }
 
 interface Peer {
@@ -137,4 +144,7 @@
   # The sender stops, and takes the answers to its earlier calls for this long only. Those of them that wait and
   # can't end in time are refused.
   limitAnswers @4 (calls :List(CallId), within :Int64);
+  # Asks the node that keeps the organisation's allowance for permission to make requests. The node is no keeper
+  # if it does not know the organisation or may be cut off.
+  spendAllowance @5 (organisation :Text, wanted :UInt32) -> (isKeeper :Bool, granted :UInt32, retryAfter :Int64);
 }
--- a/nutmegarch/protocol/peer.capnp.h
+++ b/nutmegarch/protocol/peer.capnp.h
@@ -40,6 +40,8 @@
 CAPNP_DECLARE_SCHEMA(81f1ad2c1c5f3fb4);
 CAPNP_DECLARE_SCHEMA(e15c67dd64d482fe);
 CAPNP_DECLARE_SCHEMA(9dd82374a9e39149);
+CAPNP_DECLARE_SCHEMA(c7c3cc5b4a500bf6);
+CAPNP_DECLARE_SCHEMA(aedff1b1b5affe31);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -56,7 +58,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f9509f592e8d67d5, 11, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(f9509f592e8d67d5, 11, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -116,7 +118,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e99de4fcf75f38e6, 8, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(e99de4fcf75f38e6, 10, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -191,7 +193,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f03d1315d37be1ff, 8, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f03d1315d37be1ff, 9, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -216,6 +218,8 @@
   struct PingResults;
   struct LimitAnswersParams;
   struct LimitAnswersResults;
+  struct SpendAllowanceParams;
+  struct SpendAllowanceResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -375,6 +379,36 @@
   };
 };
 
+struct Peer::SpendAllowanceParams {
+  SpendAllowanceParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c7c3cc5b4a500bf6, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::SpendAllowanceResults {
+  SpendAllowanceResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(aedff1b1b5affe31, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class CallContext::Reader {
@@ -445,6 +479,9 @@
 
   inline  ::int64_t getAnswerWithin() const;
 
+  inline bool hasOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -562,6 +599,13 @@
   inline  ::int64_t getAnswerWithin();
   inline void setAnswerWithin( ::int64_t value);
 
+  inline bool hasOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -942,6 +986,10 @@
 
   inline bool getInnerRoute() const;
 
+  inline  ::uint64_t getConfigurationVersion() const;
+
+  inline  ::int64_t getConfigurationAge() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1046,6 +1094,12 @@
   inline bool getInnerRoute();
   inline void setInnerRoute(bool value);
 
+  inline  ::uint64_t getConfigurationVersion();
+  inline void setConfigurationVersion( ::uint64_t value);
+
+  inline  ::int64_t getConfigurationAge();
+  inline void setConfigurationAge( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1468,6 +1522,8 @@
 
   inline  ::uint64_t getConfigurationVersion() const;
 
+  inline  ::int64_t getConfigurationAge() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1548,6 +1604,9 @@
   inline  ::uint64_t getConfigurationVersion();
   inline void setConfigurationVersion( ::uint64_t value);
 
+  inline  ::int64_t getConfigurationAge();
+  inline void setConfigurationAge( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1603,6 +1662,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::nutmegarch::protocol::wire::Peer::LimitAnswersParams,  ::nutmegarch::protocol::wire::Peer::LimitAnswersResults> limitAnswersRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::nutmegarch::protocol::wire::Peer::SpendAllowanceParams,  ::nutmegarch::protocol::wire::Peer::SpendAllowanceResults> spendAllowanceRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1639,6 +1700,10 @@
   typedef  ::nutmegarch::protocol::wire::Peer::LimitAnswersResults LimitAnswersResults;
   typedef ::capnp::CallContext<LimitAnswersParams, LimitAnswersResults> LimitAnswersContext;
   virtual ::kj::Promise<void> limitAnswers(LimitAnswersContext context);
+  typedef  ::nutmegarch::protocol::wire::Peer::SpendAllowanceParams SpendAllowanceParams;
+  typedef  ::nutmegarch::protocol::wire::Peer::SpendAllowanceResults SpendAllowanceResults;
+  typedef ::capnp::CallContext<SpendAllowanceParams, SpendAllowanceResults> SpendAllowanceContext;
+  virtual ::kj::Promise<void> spendAllowance(SpendAllowanceContext context);
 
   inline  ::nutmegarch::protocol::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2453,6 +2518,178 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::SpendAllowanceParams::Reader {
+public:
+  typedef SpendAllowanceParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
+
+  inline  ::uint32_t getWanted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::SpendAllowanceParams::Builder {
+public:
+  typedef SpendAllowanceParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
+
+  inline  ::uint32_t getWanted();
+  inline void setWanted( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::SpendAllowanceParams::Pipeline {
+public:
+  typedef SpendAllowanceParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::SpendAllowanceResults::Reader {
+public:
+  typedef SpendAllowanceResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsKeeper() const;
+
+  inline  ::uint32_t getGranted() const;
+
+  inline  ::int64_t getRetryAfter() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::SpendAllowanceResults::Builder {
+public:
+  typedef SpendAllowanceResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsKeeper();
+  inline void setIsKeeper(bool value);
+
+  inline  ::uint32_t getGranted();
+  inline void setGranted( ::uint32_t value);
+
+  inline  ::int64_t getRetryAfter();
+  inline void setRetryAfter( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::SpendAllowanceResults::Pipeline {
+public:
+  typedef SpendAllowanceResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::uint64_t CallContext::Reader::getIdHigh() const {
@@ -2877,6 +3114,40 @@
       ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CallContext::Reader::hasOrganisation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool CallContext::Builder::hasOrganisation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CallContext::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CallContext::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void CallContext::Builder::setOrganisation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CallContext::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void CallContext::Builder::adoptOrganisation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CallContext::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t CallId::Reader::getHigh() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3508,6 +3779,34 @@
       ::capnp::bounded<131>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Answer::Reader::getConfigurationVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Answer::Builder::getConfigurationVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setConfigurationVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Answer::Reader::getConfigurationAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Answer::Builder::getConfigurationAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setConfigurationAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::int64_t Departure::Reader::getStartedMs() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3961,6 +4260,20 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Exchange::Reader::getConfigurationAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Exchange::Builder::getConfigurationAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Exchange::Builder::setConfigurationAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -4306,6 +4619,96 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Peer::SpendAllowanceParams::Reader::hasOrganisation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::SpendAllowanceParams::Builder::hasOrganisation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::SpendAllowanceParams::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::SpendAllowanceParams::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::SpendAllowanceParams::Builder::setOrganisation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::SpendAllowanceParams::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::SpendAllowanceParams::Builder::adoptOrganisation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::SpendAllowanceParams::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Peer::SpendAllowanceParams::Reader::getWanted() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Peer::SpendAllowanceParams::Builder::getWanted() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::SpendAllowanceParams::Builder::setWanted( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::SpendAllowanceResults::Reader::getIsKeeper() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::SpendAllowanceResults::Builder::getIsKeeper() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::SpendAllowanceResults::Builder::setIsKeeper(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Peer::SpendAllowanceResults::Reader::getGranted() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Peer::SpendAllowanceResults::Builder::getGranted() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Peer::SpendAllowanceResults::Builder::setGranted( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Peer::SpendAllowanceResults::Reader::getRetryAfter() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Peer::SpendAllowanceResults::Builder::getRetryAfter() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Peer::SpendAllowanceResults::Builder::setRetryAfter( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/nutmegarch/protocol/peer_messages.h
+++ b/nutmegarch/protocol/peer_messages.h
@@ -21,6 +21,24 @@
   std::uint64_t stamp = 0;
 };
 
+/// The configuration that a node has in force.
+struct configuration_state {
+  /// 0 if it has none.
+  std::uint64_t version = 0;
+  /// This long ago the platform's store had no newer one; nullopt if this is not known.
+  std::optional<duration> age;
+};
+
+/// Reply of the node that keeps an organisation's allowance.
+struct allowance_reply {
+  /// False if the node does not keep this allowance now, and the rest means nothing.
+  bool is_keeper = false;
+  /// Number of requests that may be made.
+  int granted = 0;
+  /// Time after which it makes sense to ask again if fewer were granted than asked for.
+  duration retry_after{};
+};
+
 /// A peer's answer to a call or to a ticket request.
 struct peer_answer {
   call_outcome outcome = call_outcome::unknown;
@@ -43,6 +61,7 @@
   /// Start of the target process that the call names, in milliseconds, if the process has announced that it
   /// leaves; 0 when the start is unknown.
   std::optional<std::int64_t> leaving_process_started_ms;
+  configuration_state configuration;
   /// Hybrid logical clock of the sender.
   std::uint64_t stamp = 0;
 };
@@ -64,8 +83,7 @@
   /// Position of a change that peers may wait for on dead connections to the store; not known if there is
   /// none.
   membership::store_position notice;
-  /// Version of the configuration that the sender has in force; 0 if it has none.
-  std::uint64_t configuration_version = 0;
+  configuration_state configuration;
 };
 
 /// Errors of the protocol between nodes.
--- a/nutmegarch/protocol/peer_network.cpp
+++ b/nutmegarch/protocol/peer_network.cpp
@@ -1,5 +1,6 @@
 #include "nutmegarch/protocol/peer_network.h"
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <netinet/in.h>
@@ -33,6 +34,8 @@
 constexpr duration tick_interval = std::chrono::milliseconds(100);
 /// Approximate size in bytes of a request without its body or documents.
 constexpr std::size_t message_overhead_bytes = 400;
+/// Largest number of requests that one message may ask a part of an allowance for.
+constexpr std::uint32_t max_wanted = 1'000'000;
 
 using tcp = boost::asio::ip::tcp;
 
@@ -148,6 +151,23 @@
     });
   }
 
+  void spend_allowance(std::uint64_t request_id, const std::string& address, const std::string& organisation,
+                       int wanted, allowance_callback done) {
+    send(request_id, address, message_overhead_bytes, std::move(done),
+         [organisation, wanted](wire::Peer::Client& peer) {
+           auto request = peer.spendAllowanceRequest();
+           request.setOrganisation(organisation);
+           request.setWanted(static_cast<std::uint32_t>(std::max(0, wanted)));
+           return request.send().then([wanted](auto&& response) {
+             // No more than was asked for, whatever the peer says.
+             const std::uint32_t granted =
+                 std::min(response.getGranted(), static_cast<std::uint32_t>(std::max(0, wanted)));
+             return allowance_reply{response.getIsKeeper(), static_cast<int>(granted),
+                                    std::max(duration{}, duration(response.getRetryAfter()))};
+           });
+         });
+  }
+
   void limit_answers(const std::string& address, const std::vector<request_id>& calls, duration within) {
     // Without the connection that the calls went over they are lost, and there is nothing to tell.
     auto found = connections_.find(address);
@@ -523,6 +543,17 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> spendAllowance(SpendAllowanceContext context) override {
+    const std::uint32_t wanted = std::min(context.getParams().getWanted(), max_wanted);
+    const capnp::Text::Reader organisation = context.getParams().getOrganisation();
+    const allowance_reply reply = owner_.service_->on_allowance_request(
+        std::string(organisation.cStr(), organisation.size()), static_cast<int>(wanted));
+    context.getResults().setIsKeeper(reply.is_keeper);
+    context.getResults().setGranted(static_cast<std::uint32_t>(std::max(0, reply.granted)));
+    context.getResults().setRetryAfter(reply.retry_after.count());
+    return kj::READY_NOW;
+  }
+
   kj::Promise<void> ping(PingContext) override { return kj::READY_NOW; }
 
   kj::Promise<void> limitAnswers(LimitAnswersContext context) override {
@@ -597,6 +628,15 @@
   return request_id;
 }
 
+std::uint64_t peer_network::spend_allowance(const std::string& address, const std::string& organisation,
+                                            int wanted, allowance_callback done) {
+  const std::uint64_t request_id = impl_->next_request_id();
+  impl_->post([this, request_id, address, organisation, wanted, done = std::move(done)]() {
+    impl_->spend_allowance(request_id, address, organisation, wanted, done);
+  });
+  return request_id;
+}
+
 void peer_network::cancel(std::uint64_t request_id) {
   impl_->post([this, request_id]() { impl_->cancel(request_id); });
 }
--- a/nutmegarch/protocol/peer_network.h
+++ b/nutmegarch/protocol/peer_network.h
@@ -31,6 +31,8 @@
   virtual void on_ticket_request(std::uint64_t exchange_id, peer_call call) = 0;
   /// The peer that sent `calls` stops, and takes their answers only for the time `within`.
   virtual void on_answer_limit(const std::vector<request_id>& calls, duration within) = 0;
+  /// Answers a request for a part of an organisation's allowance.
+  virtual allowance_reply on_allowance_request(const std::string& organisation, int wanted) = 0;
   /// Merges the gossip message of a peer, and returns the reply.
   virtual peer_exchange on_exchange(peer_exchange offer) = 0;
 };
@@ -69,6 +71,7 @@
 class peer_network {
  public:
   using answer_callback = std::function<void(const result<peer_answer, peer_error>&)>;
+  using allowance_callback = std::function<void(const result<allowance_reply, peer_error>&)>;
   using exchange_callback = std::function<void(const result<peer_exchange, peer_error>&)>;
 
   /// `io` must outlive the network, and no other thread may run it.
@@ -93,6 +96,9 @@
   std::uint64_t call(const std::string& address, peer_call call, answer_callback done);
   std::uint64_t request_ticket(const std::string& address, peer_call call, answer_callback done);
   std::uint64_t exchange(const std::string& address, peer_exchange offer, exchange_callback done);
+  /// Asks the node that keeps the organisation's allowance for `wanted` requests.
+  std::uint64_t spend_allowance(const std::string& address, const std::string& organisation, int wanted,
+                                allowance_callback done);
   /// Cancels a request, also at the peer. The callback does not run afterwards, unless it is already running.
   void cancel(std::uint64_t request_id);
   /// Tells a peer that this node stops, and takes the answers to `calls`, which it has sent there before,
--- a/unit_tests/docs/platform_names_test.cpp
+++ b/unit_tests/docs/platform_names_test.cpp
@@ -12,10 +12,11 @@
 namespace {
 
 /// Words of the users' platform that only its adapter may use.
-constexpr std::array<const char*, 16> platform_names = {
+constexpr std::array<const char*, 20> platform_names = {
     "Attempt-Id",   "Deadline-Ms",   "Response-Signature", "Target-Instance", "Caller-Service", "Server-Load",
     "Not-Executed", "kv-range",      "kv-watch",           "kv-key",          "op/config",      "\"servers/",
-    "MaxAttempts",  "ColdRemaining", "TargetLatencyMs",    "SeedLagS"};
+    "MaxAttempts",  "ColdRemaining", "TargetLatencyMs",    "SeedLagS",        "Tenant",         "ApiKeys",
+    "RatePerS",     "AuthExempt"};
 
 std::string read_text(const std::filesystem::path& path) {
   std::ifstream in(path);
--- a/unit_tests/platform/published_format_test.cpp
+++ b/unit_tests/platform/published_format_test.cpp
@@ -41,9 +41,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(malformed_configuration_is_refused) {
-  for (const char* const text :
-       {"", "{", "[]", R"({"Version": "7", "Resources": []})", R"({"Version": 7})",
-        R"({"Version": 7, "Resources": {}})", R"({"Resources": []})"}) {
+  for (const char* const text : {"", "{", "[]", R"({"Version": "7", "Resources": []})", R"({"Version": 7})",
+                                 R"({"Version": 7, "Resources": {}})", R"({"Resources": []})"}) {
     BOOST_TEST(!succeeded(parse_configuration(text)), text);
   }
 }
@@ -217,13 +216,24 @@
 
   // The node replaces the service name that the caller sent, so a caller can't pose as another service.
   headers fields = {{"Nutmegarch-Caller-Service", "false"}, {"Nutmegarch-Deadline-Ms", "600"}};
-  dialect.write_target_fields({std::chrono::milliseconds(42), "i-1", "shop"}, fields);
+  dialect.write_target_fields({std::chrono::milliseconds(42), "i-1", "shop", ""}, fields);
   BOOST_TEST(fields.size() == 3U);
   BOOST_TEST(find_header(fields, "Nutmegarch-Caller-Service") == "shop");
   BOOST_TEST(find_header(fields, "Nutmegarch-Deadline-Ms") == "42");
   BOOST_TEST(find_header(fields, "Nutmegarch-Target-Instance") == "i-1");
 }
 
+BOOST_AUTO_TEST_CASE(key_is_read_and_never_passed_on) {
+  const http_dialect dialect;
+  headers fields = {{"nutmegarch-credential", "k"}, {"Nutmegarch-Tenant", "claimed"}, {"Accept", "a"}};
+  BOOST_TEST(dialect.read_caller(fields).key == "k");
+  dialect.remove_identity(fields);
+  BOOST_REQUIRE(fields.size() == 1U);
+  dialect.write_target_fields({std::chrono::milliseconds(42), "i-1", "shop", "o"}, fields);
+  BOOST_TEST(find_header(fields, "Nutmegarch-Tenant") == "o");
+  BOOST_TEST(find_header(fields, "Nutmegarch-Credential").empty());
+}
+
 BOOST_AUTO_TEST_CASE(outcome_of_a_request_is_read_from_the_headers_of_the_server) {
   const http_dialect dialect;
   BOOST_TEST(dialect.read_target_answer({503, {{"Nutmegarch-Not-Executed", "1"}}, ""}).is_not_run);
--- a/unit_tests/protocol/peer_network_test.cpp
+++ b/unit_tests/protocol/peer_network_test.cpp
@@ -51,6 +51,9 @@
   void on_ticket_request(std::uint64_t exchange_id, peer_call) override {
     network_.answer(exchange_id, peer_answer{});
   }
+  allowance_reply on_allowance_request(const std::string& organisation, int wanted) override {
+    return {organisation == "known", wanted - 1, std::chrono::milliseconds(5)};
+  }
   void on_answer_limit(const std::vector<request_id>& calls, duration within) override {
     limited.set_value({calls, within});
   }
@@ -142,6 +145,30 @@
   BOOST_TEST((limit.second == std::chrono::seconds(5)));
 }
 
+BOOST_FIXTURE_TEST_CASE(keeper_of_an_allowance_is_asked, two_networks) {
+  std::promise<allowance_reply> replied;
+  client.spend_allowance(address, "known", 8, [&](const result<allowance_reply, peer_error>& outcome) {
+    replied.set_value(std::get<allowance_reply>(outcome));
+  });
+  const allowance_reply reply = replied.get_future().get();
+  BOOST_TEST(reply.is_keeper);
+  BOOST_TEST(reply.granted == 7);
+  BOOST_TEST((reply.retry_after == std::chrono::milliseconds(5)));
+}
+
+BOOST_AUTO_TEST_CASE(age_of_a_configuration_differs_from_an_unknown_one) {
+  capnp::MallocMessageBuilder builder;
+  wire::Exchange::Builder written = builder.initRoot<wire::Exchange>();
+  peer_exchange sent;
+  sent.configuration = {7, duration{}};
+  write(sent, written);
+  BOOST_TEST(read(written.asReader()).configuration.version == 7U);
+  BOOST_TEST(read(written.asReader()).configuration.age.has_value());
+  sent.configuration.age.reset();
+  write(sent, written);
+  BOOST_TEST(!read(written.asReader()).configuration.age.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(negative_remaining_time_is_read_as_zero) {
   call_context context;
   context.remaining = duration::min();
