Callers: one budget for what is held for all of them, and room for a new connection

Crowds of callers inside the limits ended a process by memory, or took all connections. The server counts bodies that are being read, requests that run and answers that are not taken; beyond its share of the memory the largest unfinished request is refused as not run, or the connection with the largest answer closed. The node beside a target refuses calls whose bodies leave no room. A request's body is moved to the target's connection instead of copied twice. A new connection takes the place of the one that has waited longest. accept() no longer spins while there are no descriptors.

Crowd and bounds are unchanged; the tests' settings name the machine's memory, which the product did not know before.

--- a/nutmegarch/http/client_pool.cpp
+++ b/nutmegarch/http/client_pool.cpp
@@ -431,7 +431,7 @@
     default_host_ = address.address().to_string() + ':' + std::to_string(address.port());
   }
 
-  std::uint64_t send(const request_message& request, duration timeout, callback done) {
+  std::uint64_t send(request_message request, duration timeout, callback done) {
     const std::optional<std::uint64_t> id = id_of(request, settings_);
     idle_connection taken;
     std::uint64_t request_id = 0;
@@ -449,7 +449,8 @@
       taken.stream = std::make_unique<beast::tcp_stream>(asio::make_strand(workers_));
     }
     const std::shared_ptr<exchange> created = std::make_shared<exchange>(
-        request_id, std::move(taken), id, to_beast(request, default_host_), settings_, shared_from_this(),
+        request_id, std::move(taken), id, to_beast(std::move(request), default_host_), settings_,
+        shared_from_this(),
         [self = shared_from_this(), request_id, done = std::move(done)](
             exchange& ended, result<answer_message, client_error> outcome, bool reusable) {
           self->finish_exchange(request_id, ended, reusable);
@@ -595,8 +596,8 @@
 
 client_pool::~client_pool() { impl_->close_idle_connections(); }
 
-std::uint64_t client_pool::send(const request_message& request, duration timeout, callback done) {
-  return impl_->send(request, timeout, std::move(done));
+std::uint64_t client_pool::send(request_message request, duration timeout, callback done) {
+  return impl_->send(std::move(request), timeout, std::move(done));
 }
 
 void client_pool::cancel(std::uint64_t request_id) { impl_->cancel(request_id); }
--- a/nutmegarch/http/client_pool.h
+++ b/nutmegarch/http/client_pool.h
@@ -82,7 +82,7 @@
 
   /// Sends a request. `timeout` covers connecting, writing and reading. `done` runs once, on a worker thread,
   /// unless the request is cancelled before. Returns a request id for cancel().
-  std::uint64_t send(const request_message& request, duration timeout, callback done);
+  std::uint64_t send(request_message request, duration timeout, callback done);
 
   /// Abandons a request: closes its connection and does not call its callback, unless the request has
   /// finished.
--- a/nutmegarch/http/conversion.cpp
+++ b/nutmegarch/http/conversion.cpp
@@ -57,7 +57,7 @@
   return answer;
 }
 
-beast_request to_beast(const request_message& message, const std::string& default_host) {
+beast_request to_beast(request_message&& message, const std::string& default_host) {
   beast_request request;
   request.version(11);
   request.method_string(message.method);
@@ -66,7 +66,7 @@
   for (const header& field : message.fields) {
     request.insert(field.name, field.value);
   }
-  request.body() = message.body;
+  request.body() = std::move(message.body);
   request.keep_alive(true);
   request.prepare_payload();
   return request;
--- a/nutmegarch/http/conversion.h
+++ b/nutmegarch/http/conversion.h
@@ -16,7 +16,7 @@
 request_message from_beast(beast_request&& message);
 answer_message from_beast(beast_response&& message);
 /// `default_host` is the Host field of a request whose authority is empty.
-beast_request to_beast(const request_message& message, const std::string& default_host);
+beast_request to_beast(request_message&& message, const std::string& default_host);
 /// `keep_alive` tells whether the connection stays open after the answer.
 beast_response to_beast(answer_message&& message, bool keep_alive);
 
--- a/nutmegarch/http/server.cpp
+++ b/nutmegarch/http/server.cpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <mutex>
 #include <optional>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -40,6 +41,12 @@
 constexpr duration linger_timeout = std::chrono::seconds(1);
 /// Maximum size of one read while a connection lingers, in bytes.
 constexpr std::size_t discard_read_bytes = 4096;
+/// Pause after a connection could not be accepted, for example for lack of descriptors.
+constexpr duration accept_pause = std::chrono::milliseconds(50);
+/// A string that grows holds up to twice its size.
+constexpr std::size_t growth_factor = 2;
+/// When the caller of a request that was refused for memory may come again, in seconds.
+constexpr const char* memory_retry_after = "1";
 /// Time between two checks for idle connections.
 constexpr duration idle_check_interval = std::chrono::milliseconds(500);
 
@@ -48,13 +55,26 @@
   return ++last;
 }
 
+/// A connection that can be made to hold less.
+class evictable_connection {
+ public:
+  evictable_connection() = default;
+  evictable_connection(const evictable_connection&) = delete;
+  evictable_connection& operator=(const evictable_connection&) = delete;
+  virtual ~evictable_connection() = default;
+
+  /// Refuses the request that is being read, or closes the connection. Thread-safe.
+  virtual void evict() = 0;
+};
+
 /// State that a listener shares with its sessions.
 struct server_state {
   explicit server_state(const server_settings& all)
       : settings(all),
         max_head_bytes(all.max_head_bytes),
         max_body_bytes(all.max_body_bytes),
-        idle_timeout(all.idle_timeout.count()) {}
+        idle_timeout(all.idle_timeout.count()),
+        held(all.held) {}
 
   const server_settings settings;
   /// Limits that server::set_limits() may change at any time; the timeout is in ticks of `duration`.
@@ -68,34 +88,94 @@
   std::atomic<int> writing_count{0};
   std::atomic<std::size_t> unfinished_request_bytes{0};
   std::atomic<std::size_t> unwritten_answer_bytes{0};
+  std::atomic<std::size_t> evictions{0};
   std::atomic<bool> stopping{false};
+
+  /// Sets what a connection holds: `bytes` that it can be made to drop, and a change of those that it can't.
+  /// Evicts another connection, or this one, when that is too much.
+  void update_held(std::uint64_t holder, std::size_t bytes, bool has_length, std::ptrdiff_t pinned_change) {
+    std::shared_ptr<evictable_connection> evicted;
+    {
+      const std::lock_guard<std::mutex> lock(held_mutex);
+      held.add_pinned(pinned_change);
+      const std::optional<std::uint64_t> largest = held.update(holder, bytes, has_length);
+      auto found = largest ? connections.find(*largest) : connections.end();
+      if (found != connections.end()) {
+        evicted = found->second.lock();
+      }
+    }
+    if (evicted) {
+      ++evictions;
+      evicted->evict();
+    }
+  }
+
+  /// Guards the members below. No other lock is taken while it is held.
+  std::mutex held_mutex;
+  policy::buffer_budget held;
+  /// Connections that hold bytes, by their number.
+  std::unordered_map<std::uint64_t, std::weak_ptr<evictable_connection>> connections;
 };
 
 /// One connection. Requests are read while earlier ones wait for their answers (pipelining); answers are
 /// written in the order of their requests. Members are accessed only on the stream's strand.
-class session final : public std::enable_shared_from_this<session> {
+class session final : public evictable_connection, public std::enable_shared_from_this<session> {
  public:
   session(tcp::socket socket, std::shared_ptr<server_state> state)
-      : stream_(std::move(socket)), state_(std::move(state)) {
+      : stream_(std::move(socket)), state_(std::move(state)), number_(next_exchange_id()) {
     ++state_->connection_count;
   }
   session(const session&) = delete;
   session& operator=(const session&) = delete;
-  ~session() {
+  ~session() override {
     set_counted_as_writing(false);
-    set_unfinished_request_bytes(0);
+    state_->unfinished_request_bytes -= unfinished_request_bytes_;
     state_->unwritten_answer_bytes -= answer_bytes_;
     --state_->connection_count;
+    const std::lock_guard<std::mutex> lock(state_->held_mutex);
+    state_->held.release(number_);
+    state_->held.add_pinned(-static_cast<std::ptrdiff_t>(pinned_bytes_));
+    state_->connections.erase(number_);
   }
 
   void start() {
     set_connection_options(stream_.socket());
     last_activity_ = std::chrono::steady_clock::now();
+    waits_since_ = last_activity_.time_since_epoch().count();
+    {
+      const std::lock_guard<std::mutex> lock(state_->held_mutex);
+      state_->connections[number_] = weak_from_this();
+    }
     asio::dispatch(stream_.get_executor(), [self = shared_from_this()]() { self->read_request(); });
   }
 
   beast::tcp_stream::executor_type executor() { return stream_.get_executor(); }
 
+  void evict() override {
+    // Not at once: the connection itself may be in the middle of a change.
+    asio::post(stream_.get_executor(), [self = shared_from_this()]() { self->drop_held(); });
+  }
+
+  /// Closes the connection if it still waits for a complete request. Thread-safe.
+  void close_for_another() {
+    // It is not chosen again.
+    waits_since_ = 0;
+    asio::dispatch(stream_.get_executor(), [self = shared_from_this()]() {
+      if (self->pending_requests_.empty() && !self->is_writing_) {
+        self->close();
+      }
+    });
+  }
+
+  /// Since when the connection waits for a complete request; nullopt while a request runs or is answered.
+  /// Thread-safe.
+  std::optional<std::chrono::steady_clock::time_point> waits_since() const {
+    const std::chrono::steady_clock::rep since = waits_since_;
+    return since == 0 ? std::nullopt
+                      : std::optional<std::chrono::steady_clock::time_point>(
+                            std::chrono::steady_clock::duration(since));
+  }
+
   /// Closes the connection if it has been idle for the idle timeout, or has lingered for linger_timeout.
   void close_if_idle(std::chrono::steady_clock::time_point now, bool is_stopping) {
     if (is_lingering_) {
@@ -156,6 +236,10 @@
   }
 
   void on_read_some(beast::error_code error) {
+    if (is_refused_ && !is_closed_) {
+      refuse_for_memory();
+      return;
+    }
     if (!error && !parser_->is_done() && !is_closed_ && !is_lingering_) {
       set_unfinished_request_bytes(parser_->get().body().size());
       read_some();
@@ -188,6 +272,7 @@
     const std::uint64_t exchange_id = next_exchange_id();
     pending_requests_.push_back({exchange_id, request.keep_alive(), std::nullopt, 0, request.body().size()});
     pending_bytes_ += request.body().size();
+    update_held();
     is_accepting_requests_ = request.keep_alive() && !state_->stopping;
     state_->handler->on_request(exchange_id, from_beast(std::move(request)),
                                 [self = shared_from_this(), exchange_id](answer_message answer) {
@@ -199,6 +284,33 @@
     read_request();
   }
 
+  /// Makes this connection hold less: refuses the request that is being read if nothing else is going on,
+  /// else closes the connection.
+  void drop_held() {
+    if (is_closed_ || is_lingering_ || is_refused_) {
+      return;
+    }
+    if (is_reading_ && !is_writing_ && pending_requests_.empty()) {
+      is_refused_ = true;
+      stream_.cancel();
+    } else {
+      disconnect();
+    }
+  }
+
+  /// Answers that the request that was being read has not run, and forgets it.
+  void refuse_for_memory() {
+    is_reading_ = false;
+    is_accepting_requests_ = false;
+    parser_.reset();
+    buffer_ = beast::flat_buffer(buffer_.max_size());
+    set_unfinished_request_bytes(0);
+    answer_message problem = make_problem(call_outcome::not_run, call_reason::queue_full, "");
+    set_header(problem.fields, "Retry-After", memory_retry_after);
+    pending_requests_.push_back({next_exchange_id(), false, std::move(problem), 0, 0});
+    write_answer();
+  }
+
   /// Waits until the socket is readable, to notice a disconnect while no further request is being read.
   void watch_for_disconnect() {
     if (is_watching_for_disconnect_ || pending_requests_.empty()) {
@@ -284,6 +396,7 @@
     std::deque<pending_request> abandoned;
     abandoned.swap(pending_requests_);
     for (const pending_request& pending : abandoned) {
+      pending_bytes_ -= pending.body_bytes;
       subtract_answer_bytes(pending.answer_bytes);
       if (!pending.answer) {
         state_->handler->on_disconnect(pending.exchange_id);
@@ -296,8 +409,8 @@
       if (pending.exchange_id == exchange_id && !pending.answer) {
         pending.body_bytes += content.body.size();
         pending.answer_bytes = content.body.size();
-        add_answer_bytes(content.body.size());
         pending_bytes_ += content.body.size();
+        add_answer_bytes(content.body.size());
         pending.answer = std::move(content);
         break;
       }
@@ -332,9 +445,11 @@
     if (is_closed_) {
       return;
     }
-    pending_bytes_ -= pending_requests_.front().body_bytes;
-    subtract_answer_bytes(pending_requests_.front().answer_bytes);
+    response_ = beast_response();
+    const pending_request written = std::move(pending_requests_.front());
     pending_requests_.pop_front();
+    pending_bytes_ -= written.body_bytes;
+    subtract_answer_bytes(written.answer_bytes);
     if (error) {
       disconnect();
       return;
@@ -366,16 +481,36 @@
     // Unsigned arithmetic wraps, so the difference may be negative.
     state_->unfinished_request_bytes += bytes - unfinished_request_bytes_;
     unfinished_request_bytes_ = bytes;
+    update_held();
+  }
+
+  /// Tells the server what this connection holds, if that has changed noticeably.
+  void update_held() {
+    const bool has_length = !parser_ || !parser_->chunked();
+    const std::size_t unfinished = unfinished_request_bytes_ * (has_length ? 1 : growth_factor);
+    const std::size_t bytes = state_->settings.held.charged_bytes(unfinished + answer_bytes_);
+    const std::size_t pinned = state_->settings.held.charged_bytes(pending_bytes_ - answer_bytes_);
+    waits_since_ = pending_requests_.empty() && !is_writing_ ? last_activity_.time_since_epoch().count() : 0;
+    if (bytes == held_bytes_ && pinned == pinned_bytes_) {
+      return;
+    }
+    const std::ptrdiff_t pinned_change =
+        static_cast<std::ptrdiff_t>(pinned) - static_cast<std::ptrdiff_t>(pinned_bytes_);
+    held_bytes_ = bytes;
+    pinned_bytes_ = pinned;
+    state_->update_held(number_, bytes, has_length, pinned_change);
   }
 
   void add_answer_bytes(std::size_t bytes) {
     answer_bytes_ += bytes;
     state_->unwritten_answer_bytes += bytes;
+    update_held();
   }
 
   void subtract_answer_bytes(std::size_t bytes) {
     answer_bytes_ -= bytes;
     state_->unwritten_answer_bytes -= bytes;
+    update_held();
   }
 
   /// Adds this connection to server_state::writing_count or removes it; does nothing if that is done already.
@@ -398,11 +533,20 @@
   std::size_t answer_bytes_ = 0;
   /// Bytes of the body of the request that is being read.
   std::size_t unfinished_request_bytes_ = 0;
+  /// Number of the connection in server_state.
+  std::uint64_t number_;
+  /// What server_state was told of this connection.
+  std::size_t held_bytes_ = 0;
+  std::size_t pinned_bytes_ = 0;
+  /// Value of waits_since() in ticks of the clock; 0 for none.
+  std::atomic<std::chrono::steady_clock::rep> waits_since_{0};
   std::chrono::steady_clock::time_point last_activity_;
   bool is_reading_ = false;
   bool is_writing_ = false;
   bool is_watching_for_disconnect_ = false;
   bool is_closed_ = false;
+  /// True once the request that is being read was refused for memory.
+  bool is_refused_ = false;
   /// True while this connection is counted in server_state::writing_count.
   bool is_counted_as_writing_ = false;
   /// True after the last answer has been written, until the caller closes.
@@ -422,6 +566,7 @@
       : workers_(workers),
         acceptor_(asio::make_strand(workers)),
         idle_check_timer_(acceptor_.get_executor()),
+        accept_timer_(acceptor_.get_executor()),
         state_(std::make_shared<server_state>(settings)) {
     state_->handler = &handler;
   }
@@ -461,7 +606,7 @@
 
   bool has_no_pending_writes() const { return state_->writing_count == 0; }
   server_buffers buffers() const {
-    return {state_->unfinished_request_bytes, state_->unwritten_answer_bytes};
+    return {state_->unfinished_request_bytes, state_->unwritten_answer_bytes, state_->evictions};
   }
   int port() const { return acceptor_.local_endpoint().port(); }
 
@@ -534,15 +679,46 @@
     if (!acceptor_.is_open()) {
       return;
     }
-    if (!error && state_->connection_count < state_->settings.max_connections) {
+    if (error) {
+      // Without a pause the next attempt would fail at once, for as long as there are no descriptors.
+      accept_timer_.expires_after(accept_pause);
+      accept_timer_.async_wait([self = shared_from_this()](beast::error_code) { self->accept(); });
+      return;
+    }
+    if (state_->connection_count < state_->settings.max_connections || evict_longest_waiting()) {
       open_session(std::move(socket));
     }
     accept();
   }
 
+  /// Closes the connection that has waited longest for a complete request; false if there is none.
+  bool evict_longest_waiting() {
+    std::shared_ptr<session> longest;
+    {
+      const std::lock_guard<std::mutex> lock(sessions_mutex_);
+      std::chrono::steady_clock::time_point earliest = std::chrono::steady_clock::time_point::max();
+      for (const std::weak_ptr<session>& entry : sessions_) {
+        const std::shared_ptr<session> candidate = entry.lock();
+        const std::optional<std::chrono::steady_clock::time_point> since =
+            candidate ? candidate->waits_since() : std::nullopt;
+        if (since && *since < earliest) {
+          earliest = *since;
+          longest = candidate;
+        }
+      }
+    }
+    if (!longest) {
+      return false;
+    }
+    ++state_->evictions;
+    longest->close_for_another();
+    return true;
+  }
+
   asio::io_context& workers_;
   tcp::acceptor acceptor_;
   asio::steady_timer idle_check_timer_;
+  asio::steady_timer accept_timer_;
   std::shared_ptr<server_state> state_;
   /// Guards sessions_. Innermost lock: no other one is taken while it is held.
   std::mutex sessions_mutex_;
--- a/nutmegarch/http/server.h
+++ b/nutmegarch/http/server.h
@@ -9,6 +9,7 @@
 
 #include "nutmegarch/core/message.h"
 #include "nutmegarch/core/time.h"
+#include "nutmegarch/policy/buffer_budget.h"
 
 namespace nutmegarch::http {
 
@@ -49,8 +50,13 @@
   /// No further request of a connection is read while the bodies of its pending requests and unwritten
   /// answers have this many bytes or more.
   std::size_t max_pipelined_bytes = 1U << 20U;
-  /// Maximum number of open connections; further ones are closed as soon as they are accepted.
+  /// Maximum number of open connections. For a further one, the connection is closed that has waited longest
+  /// for a complete request; without such a one, the further one.
   int max_connections = 1024;
+  /// Byte budget of all callers together: bodies that are being read, requests that run, answers that are not
+  /// written. Beyond it, the largest unfinished request is refused, or the connection with the largest answer
+  /// closed.
+  policy::buffer_budget_settings held = {64U << 20U, 16U << 10U};
 };
 
 /// Bytes of bodies that a server holds for its callers.
@@ -59,6 +65,9 @@
   std::size_t unfinished_request_bytes = 0;
   /// Answers that have not been written completely.
   std::size_t unwritten_answer_bytes = 0;
+  /// Number of requests refused and connections closed so far to stay within the budget or the number of
+  /// connections; a count, not bytes.
+  std::size_t evictions = 0;
 };
 
 /// HTTP/1.1 server on one address, with keep-alive and pipelining.
--- a/nutmegarch/node/inbound_path.cpp
+++ b/nutmegarch/node/inbound_path.cpp
@@ -18,6 +18,9 @@
 /// back.
 constexpr duration deadline_tolerance = std::chrono::milliseconds(4);
 
+/// While the bodies of all calls take less than this part of their limit, a call of any size is accepted.
+constexpr std::size_t small_part = 8;
+
 /// Time between two checks of the idle connections to the target.
 constexpr duration idle_check_interval = std::chrono::seconds(1);
 
@@ -61,6 +64,7 @@
       call.context.inner = call.context.inner || state_.inner_routes.is_inner(call.context.route);
     }
     call_entry new_entry;
+    new_entry.body_bytes = call.request->body.size();
     new_entry.request = call.request;
     if (call.context.known_target_rate) {
       const policy::rate_change change = state_.receiver.on_peer_rate(*call.context.known_target_rate, now);
@@ -91,6 +95,7 @@
       new_entry.answer = std::move(answer);
       const policy::inbound_call_ptr offered = new_entry.call;
       key_by_request_[hash_of(call.context.id)] = key;
+      held_bytes_ += new_entry.body_bytes;
       calls_.emplace(key, std::move(new_entry));
       policy::receiver_actions actions;
       state_.receiver.offer(offered, now, actions);
@@ -288,12 +293,10 @@
   return calls_.empty();
 }
 
-std::size_t inbound_path::size_in_bytes() const {
-  std::size_t total = 0;
-  for (const std::pair<const std::uint64_t, call_entry>& entry : calls_) {
-    total += entry.second.request->body.size();
-  }
-  return total;
+bool inbound_path::is_too_large_now(std::size_t body_bytes) const {
+  const std::size_t limit = state_.settings.max_inbound_bytes;
+  // A single large request passes while little else is held.
+  return held_bytes_ + body_bytes > limit && held_bytes_ > limit / small_part;
 }
 
 std::optional<protocol::peer_answer> inbound_path::refuse_early(const protocol::peer_call& call,
@@ -329,6 +332,10 @@
   if (state_.is_revalidating(now)) {
     return refuse(call_reason::revalidating);
   }
+  if (is_too_large_now(new_entry.body_bytes)) {
+    state_.metrics.add("calls_refused_for_memory");
+    return refuse(call_reason::queue_full);
+  }
   // The caller learns of the departure from the refusal, and sends the call to another target at once.
   if (!context.instance.empty() && state_.departures.is_leaving({context.instance, 0})) {
     protocol::peer_answer content = refuse(call_reason::leaving);
@@ -418,6 +425,7 @@
   auto found = calls_.find(key);
   call_entry ended = std::move(found->second);
   calls_.erase(found);
+  held_bytes_ -= ended.body_bytes;
   keys_by_deadline_.erase({ended.call->deadline, key});
   auto by_request = key_by_request_.find(hash_of(ended.call->context.id));
   if (by_request != key_by_request_.end() && by_request->second == key) {
@@ -473,6 +481,7 @@
     const time_point now = state_.clock.now();
     request = state_.dialect ? make_routed_target_request(*state_.dialect, *found->second.request, *call, now)
                              : make_target_request(*found->second.request, *call, now);
+    found->second.request.reset();
     if (call->deadline != never) {
       keys_by_deadline_.insert({call->deadline, call->key});
     }
@@ -482,7 +491,7 @@
     state_.events.add(observe::event_kind::call_started, call->context.id, call->context.route, "");
   }
   const std::uint64_t exchange_id = target_.send(
-      request, timeout,
+      std::move(request), timeout,
       [self = shared_from_this(), key = call->key](result<answer_message, http::client_error> outcome) {
         self->on_target_answer(key, std::move(outcome));
       });
--- a/nutmegarch/node/node_settings.cpp
+++ b/nutmegarch/node/node_settings.cpp
@@ -174,6 +174,17 @@
   read_routing(reader, loaded.routing);
   read_fleet(reader, loaded);
   read_organisations(reader, loaded.organisations);
+  memory_shares memory;
+  std::size_t limit_mebibytes = 0;
+  reader.read_integer("/memory/limit_mb", limit_mebibytes, 0, 1 << 20);
+  memory.limit_bytes = limit_mebibytes << 20U;
+  if (memory.limit_bytes > 0) {
+    const double limit = static_cast<double>(memory.limit_bytes);
+    loaded.callers.held.max_bytes = static_cast<std::size_t>(limit * memory.callers);
+    loaded.max_inbound_bytes = static_cast<std::size_t>(limit * memory.inbound);
+  }
+  reader.read_integer("/callers/most_held_bytes", loaded.callers.held.max_bytes, 1 << 16, 1 << 30);
+  reader.read_integer("/admission/most_held_bytes", loaded.max_inbound_bytes, 1 << 16, 1 << 30);
   std::vector<settings::settings_error> errors = reader.finish();
   if (!errors.empty()) {
     return errors;
--- a/nutmegarch/node/node_settings.h
+++ b/nutmegarch/node/node_settings.h
@@ -118,6 +118,16 @@
   duration keeper_pause = std::chrono::seconds(1);
 };
 
+/// Parts of the process's memory that what others send may take.
+struct memory_shares {
+  /// Memory that the process may take, in bytes; 0 if there is no limit.
+  std::size_t limit_bytes = 0;
+  /// Part for callers: bodies that are being read, requests that run, answers that are not taken.
+  double callers = 0.4;
+  /// Part for the bodies of calls at the target.
+  double inbound = 0.2;
+};
+
 /// All settings of a node, with their defaults. docs/SETTINGS.md lists them.
 struct node_settings {
   identity_settings identity;
@@ -138,6 +148,8 @@
   membership::version_lag_settings configuration_lag;
   membership::view_confirmation_settings view;
   organisation_settings organisations;
+  /// Bytes of the bodies of calls that wait for the target or run there. Calls beyond it are refused.
+  std::size_t max_inbound_bytes = 32U << 20U;
   fleet_retry_settings fleet_retries;
   fleet_link_settings fleet_link;
   /// Region of each failure domain.
--- a/nutmegarch/policy/buffer_budget.h
+++ b/nutmegarch/policy/buffer_budget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <iterator>
@@ -26,8 +27,8 @@
 };
 
 /// Limits the memory that unfinished messages take together. When the limit is exceeded, the largest message
-/// is evicted, preferably one of unknown length, so that endless messages don't displace finite ones. No I/O;
-/// not thread-safe.
+/// is evicted, preferably one of unknown length, so that endless messages don't displace finite ones; among
+/// equals the one that began first. No I/O; not thread-safe.
 class buffer_budget {
  public:
   explicit buffer_budget(const buffer_budget_settings& settings) : settings_(settings) {}
@@ -36,23 +37,31 @@
   /// Returns the holder whose message the caller must drop, if any; it is released already.
   std::optional<std::uint64_t> update(std::uint64_t holder, std::size_t bytes, bool has_length) {
     release(holder);
-    const entry added{!has_length, bytes, holder};
+    if (bytes == 0) {
+      return std::nullopt;
+    }
+    const entry added{!has_length, bytes, ~holder};
     by_holder_[holder] = added;
     entries_.insert(added);
     total_ += bytes;
-    if (total_ <= settings_.max_bytes) {
+    const std::size_t room = settings_.max_bytes - std::min(settings_.max_bytes, pinned_);
+    if (total_ <= room) {
       return std::nullopt;
     }
     // Evicts the largest message of unknown length. If that frees too little, the largest of known length.
     auto largest = std::prev(entries_.end());
-    if (std::get<0>(*largest) && std::get<1>(*largest) < total_ - settings_.max_bytes) {
-      largest = std::prev(entries_.lower_bound({true, 0, 0}));
+    const auto first_unknown = entries_.lower_bound({true, 0, 0});
+    if (std::get<0>(*largest) && std::get<1>(*largest) < total_ - room && first_unknown != entries_.begin()) {
+      largest = std::prev(first_unknown);
     }
-    const std::uint64_t evicted = std::get<2>(*largest);
+    const std::uint64_t evicted = ~std::get<2>(*largest);
     release(evicted);
     return evicted;
   }
 
+  /// Changes the bytes that are held beside the messages and can't be dropped. They take part of the limit.
+  void add_pinned(std::ptrdiff_t bytes) { pinned_ += static_cast<std::size_t>(bytes); }
+
   /// Removes the holder when its message is complete or was dropped. Ignores unknown holders.
   void release(std::uint64_t holder) {
     auto found = by_holder_.find(holder);
@@ -64,17 +73,19 @@
     by_holder_.erase(found);
   }
 
-  /// Bytes counted for all holders.
-  std::size_t total() const { return total_; }
+  /// Bytes counted for all holders, and those that are pinned.
+  std::size_t total() const { return total_ + pinned_; }
 
  private:
-  /// Whether the length is unknown, the bytes, and the holder. The last entry of the set is evicted first.
+  /// Whether the length is unknown, the bytes, and the complement of the holder, so that the one with the
+  /// lowest number comes last among equals. The last entry of the set is evicted first.
   using entry = std::tuple<bool, std::size_t, std::uint64_t>;
 
   buffer_budget_settings settings_;
   std::unordered_map<std::uint64_t, entry> by_holder_;
   std::set<entry> entries_;
   std::size_t total_ = 0;
+  std::size_t pinned_ = 0;
 };
 
 }  // namespace nutmegarch::policy
--- a/unit_tests/command/crowd_test.cpp
+++ b/unit_tests/command/crowd_test.cpp
@@ -24,7 +24,8 @@
 
 served_node_options crowd_options(std::size_t answer_bytes) {
   served_node_options options;
-  options.settings = R"(, "callers": {"most_body_bytes": 4194304, "most_connections": 200})";
+  options.settings = R"(, "callers": {"most_body_bytes": 4194304, "most_connections": 200},
+      "memory": {"limit_mb": 128})";
   options.target_settings = R"(, "most_answer_bytes": 16777216)";
   options.resources = R"(, {"ResourceType": "Limits", "Metadata": {}, "Spec": {"MaxHeaderBytes": 16384,
       "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 60000, "IdleTimeoutMs": 60000}})";
