Target's edge: an answer whose status is none is a fault of that server

Report of another system: an answer with status 000 was passed on as an answer. Here 000 to 099 and 101 were taken for interim answers, so that the exchange held the caller and the target's slot until the deadline; 600 and above were passed on as answers.

--- a/nutmegarch/http/client_pool.cpp
+++ b/nutmegarch/http/client_pool.cpp
@@ -32,6 +32,11 @@
 
 /// Lowest status of a final answer; those below it are interim answers (1xx).
 constexpr unsigned first_final_status = 200;
+/// Lowest status of all answers, and lowest number above them.
+constexpr unsigned first_status = 100;
+constexpr unsigned end_of_statuses = 600;
+/// No request asks for another protocol, so that an answer with this status is none.
+constexpr unsigned status_switching_protocols = 101;
 constexpr unsigned first_error_status = 400;
 /// An idle connection expires here this long before the server would close it, so that a request does not
 /// cross the server's close on the way.
@@ -51,6 +56,11 @@
   unclear
 };
 
+/// True if a server may answer with this status.
+bool is_status_of_answer(unsigned status) {
+  return status >= first_status && status < end_of_statuses && status != status_switching_protocols;
+}
+
 /// What a connection has carried that a faulty server may repeat on it.
 struct connection_history {
   bool has_answered = false;
@@ -298,6 +308,10 @@
 
   void on_answer() {
     const beast_response& answer = parser_->get();
+    if (!is_status_of_answer(answer.result_int())) {
+      complete(client_error::malformed, false);
+      return;
+    }
     if (answer.result_int() < first_final_status) {
       read_next_answer(meter_.on_interim_answer());
       return;
