Targets that have started or recovered get a pace that their answers set

All nodes at once sent a target that had just started, or was back after an ejection, what they had. With /routing/paces_recovery a node has one call open there at first, and one more for each answer that is not slow, until it might fill all slots; a loss halves that. Nothing is held back while more than half of a service's slots are paced.

--- a/nutmegarch/membership/endpoint_table.cpp
+++ b/nutmegarch/membership/endpoint_table.cpp
@@ -40,6 +40,7 @@
     if (!known || known->address != host.peer_address ||
         known->process_started_ms != host.process_started_ms) {
       known = policy::endpoint_ptr(new policy::endpoint());
+      known->is_new = host.cold_remaining > duration{};
       known->cold_until = host.cold_remaining > duration{} ? now + host.cold_remaining : time_point{};
     }
     known->host = host.host;
--- a/nutmegarch/node/node_settings.cpp
+++ b/nutmegarch/node/node_settings.cpp
@@ -96,6 +96,7 @@
                                           {"two_choices", policy::routing_kind::two_choices},
                                           {"least_loaded", policy::routing_kind::least_loaded},
                                           {"least_time", policy::routing_kind::least_time}});
+  reader.read_bool("/routing/paces_recovery", to.pace.is_enabled);
   reader.read_bool("/routing/compares_regions", to.score.cross_region_balancing);
   reader.read_integer("/routing/retry_budget", to.retry_budget, 0, 100);
   reader.read_integer("/routing/most_attempts", to.max_attempts, 1, 10);
--- a/nutmegarch/node/outbound_path.cpp
+++ b/nutmegarch/node/outbound_path.cpp
@@ -515,8 +515,10 @@
       answer = make_error_answer(std::get<protocol::peer_error>(outcome));
     }
     const bool was_ejected = state_.clock.now() < to->ejected_until;
+    const int paced_before = to->paced_calls;
     const policy::outbound_call_ptr call = found->second.call;
     state_.sender.on_answer(call, attempt, answer, state_.clock.now(), actions);
+    log_pace(*to, paced_before);
     const bool is_ejected = state_.clock.now() < to->ejected_until;
     if (is_ejected != was_ejected) {
       state_.events.add(is_ejected ? observe::event_kind::target_ejected : observe::event_kind::target_back,
@@ -526,6 +528,21 @@
   run_actions(actions);
 }
 
+void outbound_path::log_pace(const policy::endpoint& at, int paced_before) {
+  const bool has_ended = paced_before > 0 && at.paced_calls == 0;
+  if (!has_ended && (paced_before > 0 || at.paced_calls == 0)) {
+    return;
+  }
+  state_.metrics.add(has_ended ? "paces_ended" : "paces_begun");
+  observe::log_event(observe::log_level::info, "target-paced",
+                     {{"host", at.host},
+                      {"instance", at.instance},
+                      {"service", at.service},
+                      {"state", has_ended ? "ended" : "begun"},
+                      {"slots", std::to_string(at.slots)},
+                      {"outstanding", std::to_string(at.outstanding)}});
+}
+
 bool outbound_path::take_departure(const protocol::peer_answer& content, const policy::endpoint& from,
                                    const call_context& context) {
   if (!content.leaving_process_started_ms || from.instance.empty() || state_.settings.pass_through) {
--- a/nutmegarch/node/outbound_path.h
+++ b/nutmegarch/node/outbound_path.h
@@ -98,6 +98,8 @@
   void complete(const policy::sender_action& action);
   void on_attempt_ended(std::uint64_t key, std::size_t attempt,
                         const result<protocol::peer_answer, protocol::peer_error>& outcome);
+  /// Logs that the pace of a target has begun or ended; `paced_before` is what it was before an answer.
+  void log_pace(const policy::endpoint& at, int paced_before);
   /// Records that a target process has announced that it leaves, if the answer says so. Returns true when it
   /// is the process of the endpoint. Requires the state's lock.
   bool take_departure(const protocol::peer_answer& content, const policy::endpoint& from,
--- a/nutmegarch/policy/endpoint.h
+++ b/nutmegarch/policy/endpoint.h
@@ -67,11 +67,16 @@
   time_point first_used_at{};
   /// Time until which the target counts as slow, because it has just started.
   time_point cold_until{};
+  /// The target had just started when it was listed first, so that its pace has to begin.
+  bool is_new = false;
   /// Start of the current wait for an answer: the last answer, or the first call after an idle period.
   time_point awaiting_since{};
   int consecutive_losses = 0;
   int ejections = 0;
   time_point ejected_until{};
+  /// Calls that this node may have open at the target, which has started or recovered; 0 without such a
+  /// limit. See recovery_pace.
+  int paced_calls = 0;
   /// Time until which the endpoint receives no calls, because another target process was found at its
   /// address.
   time_point stale_address_until{};
--- a/nutmegarch/policy/outbound_call.h
+++ b/nutmegarch/policy/outbound_call.h
@@ -38,6 +38,8 @@
   int far = 0;
   /// Endpoints that are ejected or stalled.
   int unhealthy = 0;
+  /// Endpoints that have as many calls as their pace allows.
+  int paced = 0;
   /// Endpoints whose level refuses the call.
   int shed = 0;
   /// Endpoints that are leaving, have a stale address or were tried before.
--- a/nutmegarch/policy/sender_settings.h
+++ b/nutmegarch/policy/sender_settings.h
@@ -2,6 +2,7 @@
 
 #include "nutmegarch/policy/byte_bucket.h"
 #include "nutmegarch/policy/load_balancer.h"
+#include "nutmegarch/policy/recovery_pace.h"
 #include "nutmegarch/policy/retry_budget.h"
 
 namespace nutmegarch::policy {
@@ -42,6 +43,7 @@
   /// How long an endpoint receives no calls after another process was found at its address. The next endpoint
   /// list replaces its entry in the meantime.
   duration stale_address_time = std::chrono::seconds(3);
+  recovery_pace_settings pace;
   byte_bucket_settings link;
 };
 
--- a/nutmegarch/policy/service_state.cpp
+++ b/nutmegarch/policy/service_state.cpp
@@ -37,9 +37,20 @@
     : retries(settings.retries),
       hedges(settings.hedges),
       settings_(settings),
+      pace_(settings.pace),
       balancer_(make_load_balancer(settings.pass_through ? routing_kind::round_robin : settings.routing,
                                    settings.score)) {}
 
+void service_state::set_endpoints(std::vector<endpoint_ptr> endpoints) {
+  endpoints_ = std::move(endpoints);
+  for (const endpoint_ptr& listed : endpoints_) {
+    if (listed->is_new) {
+      listed->is_new = false;
+      pace_.begin(*listed);
+    }
+  }
+}
+
 bool service_state::is_usable(const endpoint& candidate, const std::string& route, time_point now) const {
   return now >= candidate.ejected_until && !is_stalled(candidate, route, now);
 }
@@ -101,6 +112,7 @@
     from.relative_latency +=
         relative_latency_weight * (std::min(ratio, max_latency_ratio) - from.relative_latency);
     state->latency.add(latency);
+    pace_.on_answer(from, ratio);
     const double bytes = static_cast<double>(size);
     state->answer_size = state->answer_size == 0
                              ? bytes
@@ -112,6 +124,7 @@
 
 void service_state::record_loss(endpoint& from, time_point now) {
   ++from.consecutive_losses;
+  pace_.on_loss(from);
   // An endpoint that has not answered since its last ejection is ejected again after a single loss.
   const int allowed = from.ejections > 0 ? 1 : settings_.losses_to_eject;
   if (from.consecutive_losses < allowed || now < from.ejected_until) {
@@ -131,6 +144,7 @@
   from.ejected_until = now + std::min(length, settings_.max_ejection_time);
   ++from.ejections;
   from.consecutive_losses = 0;
+  pace_.begin(from);
 }
 
 void service_state::forget_reports() {
--- a/nutmegarch/policy/service_state.h
+++ b/nutmegarch/policy/service_state.h
@@ -42,7 +42,9 @@
   /// @name Endpoints
   /// @{
   const std::vector<endpoint_ptr>& endpoints() const { return endpoints_; }
-  void set_endpoints(std::vector<endpoint_ptr> endpoints) { endpoints_ = std::move(endpoints); }
+  void set_endpoints(std::vector<endpoint_ptr> endpoints);
+  /// True when targets that have as many calls as their pace allows are passed over.
+  bool holds_back() const { return settings_.pace.is_enabled && pace_.may_hold_back(endpoints_); }
   /// Chooses one of the candidates, which must not be empty.
   endpoint* choose(const std::vector<endpoint*>& candidates, time_point now, random_source& random) {
     return balancer_->choose(candidates, now, random);
@@ -110,6 +112,7 @@
   duration latency_of(const std::string& route, double q) const;
 
   sender_settings settings_;
+  recovery_pace pace_;
   std::vector<endpoint_ptr> endpoints_;
   std::unique_ptr<load_balancer> balancer_;
   std::unordered_map<std::string, route_state> routes_;
--- a/unit_tests/organisations/organisation_table_test.cpp
+++ b/unit_tests/organisations/organisation_table_test.cpp
@@ -17,6 +17,7 @@
 
 std::vector<std::string> node_addresses(int count) {
   std::vector<std::string> addresses;
+  addresses.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     addresses.push_back("10.0.0." + std::to_string(i) + ":7000");
   }
@@ -61,6 +62,7 @@
   owner_table table;
   table.set_nodes(node_addresses(node_count));
   std::vector<std::string> before;
+  before.reserve(organisation_count);
   for (int i = 0; i < organisation_count; ++i) {
     before.push_back(table.find("organisation-" + std::to_string(i)).front());
   }
--- a/unit_tests/platform/odd_configuration_test.cpp
+++ b/unit_tests/platform/odd_configuration_test.cpp
@@ -159,7 +159,8 @@
   const routes::route_table table(std::get<routes::route_configuration>(read));
   const routes::route* const found = table.find("odd.example", "/p/x");
   BOOST_REQUIRE(found != nullptr);
-  BOOST_TEST(!found->is_readable);
+  const routes::route placeholder = found == nullptr ? routes::route{} : *found;
+  BOOST_TEST(!placeholder.is_readable);
   BOOST_TEST(table.find("odd.example", "/q")->is_readable);
 }
 
