--- a/unit_tests/policy/recovery_pace_test.cpp
+++ b/unit_tests/policy/recovery_pace_test.cpp
@@ -36,15 +36,18 @@
     sender_settings settings;
     settings.routing = routing_kind::least_time;
     settings.pace.is_enabled = is_paced;
+    const std::size_t target_count =
+        static_cast<std::size_t>(warm_targets) + static_cast<std::size_t>(new_targets);
     for (int i = 0; i < nodes; ++i) {
       senders_.push_back(std::make_unique<sender>(settings, random_));
       std::vector<endpoint_ptr> endpoints;
+      endpoints.reserve(target_count);
       for (int t = 0; t < warm_targets + new_targets; ++t) {
         endpoints.push_back(make_endpoint(std::to_string(t), t >= warm_targets));
       }
       senders_.back()->set_endpoints("s", endpoints);
     }
-    running_.resize(static_cast<std::size_t>(warm_targets + new_targets));
+    running_.resize(target_count);
   }
 
   /// Sends `rate` calls a second in all for `length`. The work of the targets from `slow_from` on is `factor`
