Soak: render sections of single values, and the memory of the machine

The settings' template has both since the budget of callers and the bounds of organisations; the soak wrote settings that no node could read.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -28,7 +28,10 @@
         return found
 
     def section(match):
-        entries = look_up(match.group(1)) or []
+        entries = look_up(match.group(1))
+        if not isinstance(entries, list):
+            # Once for a value that is present and not false.
+            return "" if entries is None or entries is False else match.group(2)
         texts = [match.group(2).replace("{{.}}", str(entry)) for entry in entries]
         last = len(texts) - 1
         return "".join(text.replace("{{,}}", "" if i == last else ",") for i, text in enumerate(texts))
@@ -67,7 +70,7 @@
             "Zones": {"a": "ra", "b": "rb"}, "AppAddr": self.server_address, "Bounds": BOUNDS,
             "Listen": {"Outbound": self.ip + ":8304", "Control": self.inner_ip + ":7620",
                        "Ready": self.ip + ":8302"},
-            "Platform": {"Address": self.ip + ":9000"},
+            "Limits": {"MemoryMb": 260}, "Platform": {"Address": self.ip + ":9000"},
             "Seeds": [other.ip + ":7620" for other in self.fleet.hosts[:3]],
         }
         with open(os.path.join(ROOT, "deploy", "node.json.template")) as file:
