Sender: look at the pace of all targets only when one has reached its own

Each selection summed up the slots of all targets of the service, also without a paced one; now only when a target has as many calls as its pace allows. The result is the same. Three accessors that nothing called are gone.

Run: build, and the unit tests of policy, organisations, configuration age, settings and pages.

--- a/nutmegarch/membership/configuration_age.h
+++ b/nutmegarch/membership/configuration_age.h
@@ -67,7 +67,6 @@
   /// a limit of the age that is always so.
   bool is_in_touch(time_point now) const { return !is_limited() || is_younger(now, share(in_touch_share)); }
   bool is_limited() const { return settings_.max_age > duration{}; }
-  bool is_reader() const { return is_reader_; }
 
   /// Whom to ask now. `is_store_failing`: the store does not answer, and is asked again anyway.
   confirmation_source next(bool is_store_failing, random_source& random, time_point now) {
--- a/nutmegarch/organisations/allowance_cache.cpp
+++ b/nutmegarch/organisations/allowance_cache.cpp
@@ -1,7 +1,7 @@
 #include "nutmegarch/organisations/allowance_cache.h"
 
 #include <algorithm>
-#include <cmath>
+#include <iterator>
 
 namespace nutmegarch::organisations {
 
--- a/nutmegarch/organisations/allowance_ledger.h
+++ b/nutmegarch/organisations/allowance_ledger.h
@@ -60,8 +60,6 @@
   /// another node keeps the allowance, and may have granted all of it until now.
   allowance_grant spend(const std::string& organisation, const allowance& limit, bool is_stand_in, int wanted,
                         time_point now);
-  /// Number of organisations with an account.
-  std::size_t size() const { return accounts_.size(); }
 
  private:
   /// Number of parts of the counted time. A part leaves the count as a whole, when its end has left it.
--- a/nutmegarch/organisations/owner_table.h
+++ b/nutmegarch/organisations/owner_table.h
@@ -21,7 +21,6 @@
   bool set_nodes(std::vector<std::string> addresses);
   /// The keepers of the organisation's allowance.
   const keepers& find(const std::string& organisation);
-  std::size_t size() const { return nodes_.size(); }
 
  private:
   std::vector<std::string> nodes_;
--- a/nutmegarch/policy/sender.cpp
+++ b/nutmegarch/policy/sender.cpp
@@ -228,7 +228,6 @@
   endpoint_counts& last_selection = call.last_selection;
   last_selection = endpoint_counts{};
   endpoint* last_resort = nullptr;
-  const bool holds_back = service.holds_back();
   for (const endpoint_ptr& candidate : service.endpoints()) {
     if (candidate->leaving() || now < candidate->stale_address_until || was_tried(call, *candidate)) {
       ++last_selection.unavailable;
@@ -246,7 +245,7 @@
       ++last_selection.unhealthy;
       continue;
     }
-    if (holds_back && recovery_pace::is_reached(*candidate)) {
+    if (recovery_pace::is_reached(*candidate) && service.holds_back()) {
       ++last_selection.paced;
       last_resort = candidate.get();
       continue;
