--- a/review/lib2/small_fleet.py
+++ b/review/lib2/small_fleet.py
@@ -10,6 +10,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -335,6 +336,7 @@
         for process in self.processes:
             process.wait()
         self.guard.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def route(name, host, prefix, service, kind="idempotent", **more):
