Heads: carry names and values of any size

Cause: the containers of Boost.Beast hold a field in 16-bit sizes, and throw std::length_error beyond them. The same containers stood in the client's reader, in both writers, and so in the paths of answers, Host, names of fields, and trailers of chunked bodies. The limit itself was cut to 32 bits: 4,294,987,296 was taken for 20,000.

Change: the library's parser is kept, its containers are not. message_parser puts what it reads into core/message.h directly; message_writer formats heads. The conversions are gone, and one copy of each message with them.

Weighed: answering 431 from 64 KiB on refuses what the configuration allows, every time; catching the exception loses the connection, and the sender tries further nodes with the same request.

--- a/nutmegarch/http/client_pool.cpp
+++ b/nutmegarch/http/client_pool.cpp
@@ -1,6 +1,7 @@
 #include "nutmegarch/http/client_pool.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <mutex>
 #include <optional>
@@ -12,14 +13,14 @@
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include "nutmegarch/core/hash.h"
-#include "nutmegarch/http/conversion.h"
+#include "nutmegarch/http/message_parser.h"
+#include "nutmegarch/http/message_writer.h"
 
 namespace nutmegarch::http {
 
@@ -99,9 +100,9 @@
 }
 
 /// The "timeout" parameter of an answer's Keep-Alive field; empty if it has none.
-std::optional<duration> keep_alive_timeout_of(const beast_response& answer) {
+std::optional<duration> keep_alive_timeout_of(const answer_parser& answer) {
   constexpr std::string_view name = "timeout=";
-  const std::string field(answer[beast::http::field::keep_alive]);
+  const std::string& field = answer.keep_alive_parameters();
   const std::size_t begin = field.find(name);
   unsigned value = 0;
   if (begin == std::string::npos) {
@@ -131,16 +132,21 @@
   using completion_handler =
       std::function<void(exchange&, result<answer_message, client_error>, bool reusable)>;
 
-  /// `id` is the hash of the request's echoed value, if it has one.
+  /// `id` is the hash of the request's echoed value, if it has one. `default_host` is the Host field of a
+  /// request without an authority.
   exchange(std::uint64_t request_id, idle_connection connection, std::optional<std::uint64_t> id,
-           beast_request request, const client_settings& settings,
+           request_message request, const std::string& default_host, const client_settings& settings,
            std::shared_ptr<answer_size_listener> listener, completion_handler done)
       : request_id_(request_id),
         stream_(std::move(connection.stream)),
         history_(std::move(connection.history)),
         id_(id),
         executor_(stream_->get_executor()),
-        request_(std::move(request)),
+        request_head_(format_head(request, default_host)),
+        is_head_request_(request.method == "HEAD"),
+        echoed_value_(settings.echoed_field.empty() ? std::string()
+                                                    : find_header(request.fields, settings.echoed_field)),
+        request_body_(std::move(request.body)),
         settings_(settings),
         listener_(std::move(listener)),
         done_(std::move(done)),
@@ -206,21 +212,23 @@
       return;
     }
     stream_->expires_at(deadline_);
-    beast::http::async_write(*stream_, request_,
-                             [self = shared_from_this()](beast::error_code error, std::size_t) {
-                               // A write error is not reported here: either the read fails too, or an answer
-                               // has arrived already.
-                               self->is_written_ = !error;
-                             });
+    const std::array<asio::const_buffer, 2> parts = {asio::buffer(request_head_),
+                                                     asio::buffer(request_body_)};
+    asio::async_write(*stream_, parts, whole_writes,
+                      [self = shared_from_this()](beast::error_code error, std::size_t) {
+                        // A write error is not reported here: either the read fails too, or an answer has
+                        // arrived already.
+                        self->is_written_ = !error;
+                      });
     read_answer();
   }
 
   void read_answer() {
     parser_.emplace();
     parser_->body_limit(settings_.max_body_bytes);
-    parser_->header_limit(static_cast<std::uint32_t>(settings_.answer_limits.max_head_bytes));
+    parser_->max_head_bytes(settings_.answer_limits.max_head_bytes);
     parser_->eager(true);
-    if (request_.method() == beast::http::verb::head) {
+    if (is_head_request_) {
       parser_->skip(true);
     }
     parse_input();
@@ -267,7 +275,7 @@
         complete(error_of(error), false);
         return;
       }
-      if (!meter_.on_read(used, parser_->get().body().size())) {
+      if (!meter_.on_read(used, parser_->body_size())) {
         complete(client_error::malformed, false);
         return;
       }
@@ -287,8 +295,7 @@
   }
 
   void report_answer_size() {
-    const std::size_t counted_bytes =
-        settings_.unfinished_answers.charged_bytes(parser_->get().body().size());
+    const std::size_t counted_bytes = settings_.unfinished_answers.charged_bytes(parser_->body_size());
     if (counted_bytes > reported_bytes_) {
       reported_bytes_ = counted_bytes;
       listener_->on_answer_size(request_id_, counted_bytes, parser_->content_length().has_value());
@@ -301,18 +308,17 @@
     if (!parser_->is_header_done() || !parser_->need_eof()) {
       return false;
     }
-    const beast_response& answer = parser_->get();
-    return owner_of(answer) != answer_owner::this_request ||
-           (!settings_.allow_close_delimited && !answer.body().empty());
+    return owner_of(*parser_) != answer_owner::this_request ||
+           (!settings_.allow_close_delimited && parser_->body_size() > 0);
   }
 
   void on_answer() {
-    const beast_response& answer = parser_->get();
-    if (!is_status_of_answer(answer.result_int())) {
+    const answer_parser& answer = *parser_;
+    if (!is_status_of_answer(answer.status())) {
       complete(client_error::malformed, false);
       return;
     }
-    if (answer.result_int() < first_final_status) {
+    if (answer.status() < first_final_status) {
       read_next_answer(meter_.on_interim_answer());
       return;
     }
@@ -334,14 +340,14 @@
       complete(client_error::malformed, false);
       return;
     }
-    if (id_ && answer.result_int() >= first_error_status) {
+    if (id_ && answer.status() >= first_error_status) {
       history_.failed_ids.push_back(*id_);
     }
     history_.has_answered = true;
     const bool reusable = is_delimited && parser_->keep_alive() && buffer_.size() == 0 && is_written_ &&
                           !is_out_of_sync_ && history_.failed_ids.size() < max_remembered_failures;
     idle_timeout_ = std::min(idle_timeout_, keep_alive_timeout_of(answer).value_or(idle_timeout_));
-    complete(from_beast(parser_->release()), reusable);
+    complete(parser_->release(), reusable);
   }
 
   void read_next_answer(bool is_within_bounds) {
@@ -354,18 +360,17 @@
 
   /// An error answer may lack the echoed field, since the server may send it without having read the request.
   /// On a connection that has carried another answer, it may also be a repetition of that one.
-  answer_owner owner_of(const beast_response& answer) const {
+  answer_owner owner_of(const answer_parser& answer) const {
     if (settings_.echoed_field.empty()) {
       return answer_owner::this_request;
     }
-    const beast::string_view sent = request_[settings_.echoed_field];
-    const beast::string_view echoed = answer[settings_.echoed_field];
-    const bool may_lack_field = sent.empty() || answer.result_int() >= first_error_status;
+    const std::string echoed = answer.find_field(settings_.echoed_field);
+    const bool may_lack_field = echoed_value_.empty() || answer.status() >= first_error_status;
     if (echoed.empty() && may_lack_field) {
       const bool is_first = !history_.has_answered && !is_out_of_sync_;
       return is_first ? answer_owner::this_request : answer_owner::unclear;
     }
-    return sent == echoed ? answer_owner::this_request : answer_owner::earlier_request;
+    return echoed_value_ == echoed ? answer_owner::this_request : answer_owner::earlier_request;
   }
 
   static client_error error_of(beast::error_code error) {
@@ -398,13 +403,17 @@
   std::optional<std::uint64_t> id_;
   /// Kept separately because cancel() and abort_over_budget() may be called when the stream is gone.
   beast::tcp_stream::executor_type executor_;
-  beast_request request_;
+  std::string request_head_;
+  bool is_head_request_;
+  /// Value that the server has to copy into its answer; empty if there is none.
+  std::string echoed_value_;
+  std::string request_body_;
   client_settings settings_;
   std::shared_ptr<answer_size_listener> listener_;
   completion_handler done_;
   std::chrono::steady_clock::time_point deadline_;
   beast::flat_buffer buffer_;
-  std::optional<beast::http::response_parser<beast::http::string_body>> parser_;
+  std::optional<answer_parser> parser_;
   policy::answer_limit_checker meter_;
   /// Bytes that the listener was last notified of.
   std::size_t reported_bytes_ = 0;
@@ -463,8 +472,7 @@
       taken.stream = std::make_unique<beast::tcp_stream>(asio::make_strand(workers_));
     }
     const std::shared_ptr<exchange> created = std::make_shared<exchange>(
-        request_id, std::move(taken), id, to_beast(std::move(request), default_host_), settings_,
-        shared_from_this(),
+        request_id, std::move(taken), id, std::move(request), default_host_, settings_, shared_from_this(),
         [self = shared_from_this(), request_id, done = std::move(done)](
             exchange& ended, result<answer_message, client_error> outcome, bool reusable) {
           self->finish_exchange(request_id, ended, reusable);
--- a/nutmegarch/http/server.cpp
+++ b/nutmegarch/http/server.cpp
@@ -1,6 +1,7 @@
 #include "nutmegarch/http/server.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <deque>
@@ -15,15 +16,15 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include "nutmegarch/http/address.h"
-#include "nutmegarch/http/conversion.h"
+#include "nutmegarch/http/message_parser.h"
+#include "nutmegarch/http/message_writer.h"
 #include "nutmegarch/http/problem.h"
 #include "nutmegarch/http/socket_options.h"
 
@@ -221,7 +222,7 @@
     parser_.emplace();
     parser_->body_limit(state_->max_body_bytes.load());
     const std::size_t max_head_bytes = state_->max_head_bytes.load();
-    parser_->header_limit(static_cast<std::uint32_t>(max_head_bytes));
+    parser_->max_head_bytes(max_head_bytes);
     // Bounds chunk extensions and trailers, which the parser's own limits do not cover.
     buffer_.max_size(std::max(max_head_bytes, buffer_.size()));
     parser_->eager(true);
@@ -241,7 +242,7 @@
       return;
     }
     if (!error && !parser_->is_done() && !is_closed_ && !is_lingering_) {
-      set_unfinished_request_bytes(parser_->get().body().size());
+      set_unfinished_request_bytes(parser_->body_size());
       read_some();
       return;
     }
@@ -268,13 +269,15 @@
     if (is_writing_ && is_last_answer_) {
       return;
     }
-    beast_request request = parser_->release();
     const std::uint64_t exchange_id = next_exchange_id();
-    pending_requests_.push_back({exchange_id, request.keep_alive(), std::nullopt, 0, request.body().size()});
-    pending_bytes_ += request.body().size();
+    const bool keep_alive = parser_->keep_alive();
+    const std::size_t body_bytes = parser_->body_size();
+    request_message request = parser_->release();
+    pending_requests_.push_back({exchange_id, keep_alive, std::nullopt, 0, body_bytes});
+    pending_bytes_ += body_bytes;
     update_held();
-    is_accepting_requests_ = request.keep_alive() && !state_->stopping;
-    state_->handler->on_request(exchange_id, from_beast(std::move(request)),
+    is_accepting_requests_ = keep_alive && !state_->stopping;
+    state_->handler->on_request(exchange_id, std::move(request),
                                 [self = shared_from_this(), exchange_id](answer_message answer) {
                                   asio::dispatch(self->stream_.get_executor(),
                                                  [self, exchange_id, answer = std::move(answer)]() mutable {
@@ -431,10 +434,14 @@
     }
     const bool is_last_pending = pending_requests_.size() == 1 && !has_partial_request();
     is_last_answer_ = !pending_requests_.front().keep_alive || (is_last_pending && state_->stopping);
-    response_ = to_beast(std::move(*pending_requests_.front().answer), !is_last_answer_);
+    answer_message answer = std::move(*pending_requests_.front().answer);
+    written_head_ = format_head(answer, !is_last_answer_);
+    written_body_ = may_have_body(answer.status) ? std::move(answer.body) : std::string();
     stream_.expires_after(write_timeout);
-    beast::http::async_write(
-        stream_, response_,
+    const std::array<asio::const_buffer, 2> parts = {asio::buffer(written_head_),
+                                                     asio::buffer(written_body_)};
+    asio::async_write(
+        stream_, parts, whole_writes,
         [self = shared_from_this()](beast::error_code error, std::size_t) { self->on_written(error); });
   }
 
@@ -445,7 +452,8 @@
     if (is_closed_) {
       return;
     }
-    response_ = beast_response();
+    written_head_ = std::string();
+    written_body_ = std::string();
     const pending_request written = std::move(pending_requests_.front());
     pending_requests_.pop_front();
     pending_bytes_ -= written.body_bytes;
@@ -524,8 +532,10 @@
   beast::tcp_stream stream_;
   std::shared_ptr<server_state> state_;
   beast::flat_buffer buffer_;
-  std::optional<beast::http::request_parser<beast::http::string_body>> parser_;
-  beast_response response_;
+  std::optional<request_parser> parser_;
+  /// The answer that is being written.
+  std::string written_head_;
+  std::string written_body_;
   std::deque<pending_request> pending_requests_;
   /// Sum of pending_request::body_bytes.
   std::size_t pending_bytes_ = 0;
