--- a/unit_tests/organisations/allowance_fleet.h
+++ b/unit_tests/organisations/allowance_fleet.h
@@ -46,14 +46,14 @@
     }
     for (const std::string& address : addresses_) {
       nodes_.emplace_back(address);
-      nodes_.back().keeper.set_nodes(addresses_, start_);
+      nodes_.back().keeper.set_nodes(addresses_, start);
       nodes_.back().view = addresses_;
     }
     owner_table owners;
     owners.set_nodes(addresses_);
     first_ = index_.at(owners.find(name).front());
     second_ = index_.at(owners.find(name).back());
-    schedule(start_, [this]() { tick(); });
+    schedule(start, [this]() { tick(); });
   }
 
   /// Nodes that keep the allowance while all are there.
@@ -112,7 +112,7 @@
     std::vector<std::string> before = addresses_;
     before.erase(before.begin() + static_cast<std::ptrdiff_t>(node));
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
-      nodes_.at(i).keeper.set_nodes(before, start_);
+      nodes_.at(i).keeper.set_nodes(before, start);
       schedule(moment(at) + from_seconds(lag * random_.uniform()),
                [this, i]() { nodes_.at(i).keeper.set_nodes(addresses_, now_); });
     }
@@ -182,7 +182,7 @@
       return at >= moment(from) && at < moment(to);
     }));
   }
-  static time_point moment(double at) { return start_ + from_seconds(at); }
+  static time_point moment(double at) { return start + from_seconds(at); }
   double wait(double rate) { return -std::log(1 - random_.uniform()) / rate; }
   void schedule(time_point at, std::function<void()> run) { events_.push({at, std::move(run), ++sequence_}); }
   duration delay() { return std::chrono::milliseconds(1) + from_seconds(random_.uniform() * 0.045); }
@@ -344,9 +344,9 @@
     from.waiting = 0;
   }
 
-  static constexpr time_point start_ = time_point(std::chrono::seconds(100));
-  time_point now_ = start_;
-  time_point last_sent_ = start_;
+  static constexpr time_point start = time_point(std::chrono::seconds(100));
+  time_point now_ = start;
+  time_point last_sent_ = start;
   allowance limit_;
   random_source random_;
   std::vector<std::string> addresses_;
