Heads: count in the memory budgets

What callers saw: with a published limit on heads of 1 MiB, 190 connections that stop short of the end of a head, or send heads of many fields at the same time, take the node beyond its memory (215,457,792 and 254,922,752 bytes of 134,217,728); a machine that ends it ends all calls.

Cause: the budgets of the server for callers and of calls that wait for the target counted bodies only. Heads were bounded by the number of connections times 16 KiB, which holds for the default limit alone. The library's read function returns once a whole field has come, so that what a field takes before its end could not be counted.

Change: heads count with the memory that they use, in both budgets and while they are read. The server reads from the socket itself, at most 64 KiB at once, and frees a large input buffer after its request. Answers' heads count with the answers of targets. The limits of pipelines include heads.

Test: crowds/long_heads_that_stop_short and crowds/long_heads_of_many_fields_at_once, red before with the figures above.

--- a/nutmegarch/core/message.cpp
+++ b/nutmegarch/core/message.cpp
@@ -5,6 +5,27 @@
 
 namespace nutmegarch {
 
+namespace {
+
+std::size_t size_in_bytes(const headers& fields) {
+  std::size_t size = 0;
+  for (const header& field : fields) {
+    size += sizeof(header) + field.name.size() + field.value.size();
+  }
+  return size;
+}
+
+}  // namespace
+
+std::size_t size_in_bytes(const request_message& message) {
+  return message.method.size() + message.target.size() + message.authority.size() +
+         size_in_bytes(message.fields) + message.body.size();
+}
+
+std::size_t size_in_bytes(const answer_message& message) {
+  return size_in_bytes(message.fields) + message.body.size();
+}
+
 bool equal_ignoring_case(const std::string& left, const std::string& right) {
   return std::equal(left.begin(), left.end(), right.begin(), right.end(),
                     [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
--- a/nutmegarch/core/message.h
+++ b/nutmegarch/core/message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,10 @@
   bool closes_connection = false;
 };
 
+/// Memory that the message uses, in bytes.
+std::size_t size_in_bytes(const request_message& message);
+std::size_t size_in_bytes(const answer_message& message);
+
 /// Value of the first header with this name, ignoring case; empty when there is none.
 std::string find_header(const headers& fields, const std::string& name);
 
--- a/nutmegarch/http/client_pool.cpp
+++ b/nutmegarch/http/client_pool.cpp
@@ -295,7 +295,8 @@
   }
 
   void report_answer_size() {
-    const std::size_t counted_bytes = settings_.unfinished_answers.charged_bytes(parser_->body_size());
+    const std::size_t counted_bytes =
+        settings_.unfinished_answers.charged_bytes(parser_->head_bytes() + parser_->body_size());
     if (counted_bytes > reported_bytes_) {
       reported_bytes_ = counted_bytes;
       listener_->on_answer_size(request_id_, counted_bytes, parser_->content_length().has_value());
--- a/nutmegarch/http/message_parser.cpp
+++ b/nutmegarch/http/message_parser.cpp
@@ -49,11 +49,13 @@
   if (name == beast_http::field::host && !has_host_) {
     has_host_ = true;
     host_ = std::string(value);
+    head_bytes_ += value.size();
   }
   if (name == beast_http::field::host || is_hop_by_hop(name)) {
     return;
   }
   fields_.push_back({std::string(name_text), std::string(value)});
+  head_bytes_ += sizeof(header) + name_text.size() + value.size();
 }
 
 template <bool is_request>
@@ -87,7 +89,7 @@
                                      error_code&) {
   method_ = std::string(method);
   target_ = std::string(target);
-  set_version(version);
+  on_start_line(method.size() + target.size(), version);
 }
 
 request_message request_parser::release() {
@@ -96,7 +98,7 @@
 
 void answer_parser::on_response_impl(int status, string_view, int version, error_code&) {
   status_ = static_cast<unsigned>(status);
-  set_version(version);
+  on_start_line(0, version);
 }
 
 answer_message answer_parser::release() {
--- a/nutmegarch/http/message_parser.h
+++ b/nutmegarch/http/message_parser.h
@@ -27,6 +27,8 @@
   void max_head_bytes(std::size_t bytes);
   /// Size of the body so far, in bytes.
   std::size_t body_size() const { return body_.size(); }
+  /// Memory that the head uses so far, in bytes.
+  std::size_t head_bytes() const { return head_bytes_; }
   /// Whether the message says that its sender closes the connection after it.
   bool closes_connection() const { return version_ == version_1_1 ? names_close_ : !names_keep_alive_; }
   /// Value of the first field with this name, ignoring case; empty if there is none.
@@ -37,7 +39,10 @@
  protected:
   message_parser() = default;
 
-  void set_version(int version) { version_ = version; }
+  void on_start_line(std::size_t bytes, int version) {
+    head_bytes_ += bytes;
+    version_ = version;
+  }
   headers take_fields() { return std::move(fields_); }
   std::string take_host() { return std::move(host_); }
   std::string take_body() { return std::move(body_); }
@@ -54,6 +59,7 @@
   std::size_t on_chunk_body_impl(std::uint64_t, string_view data, error_code& error) final;
   void on_finish_impl(error_code&) final {}
 
+  std::size_t head_bytes_ = 0;
   int version_ = version_1_1;
   bool has_host_ = false;
   bool names_close_ = false;
--- a/nutmegarch/http/server.cpp
+++ b/nutmegarch/http/server.cpp
@@ -18,9 +18,9 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include "nutmegarch/http/address.h"
 #include "nutmegarch/http/message_parser.h"
@@ -40,12 +40,18 @@
 constexpr duration write_timeout = std::chrono::seconds(10);
 /// How long a connection reads and discards input after the last answer (lingering close).
 constexpr duration linger_timeout = std::chrono::seconds(1);
+/// Maximum size of one read, in bytes.
+constexpr std::size_t max_read_bytes = 64U << 10U;
 /// Maximum size of one read while a connection lingers, in bytes.
 constexpr std::size_t discard_read_bytes = 4096;
 /// Pause after a connection could not be accepted, for example for lack of descriptors.
 constexpr duration accept_pause = std::chrono::milliseconds(50);
 /// A string that grows holds up to twice its size.
 constexpr std::size_t growth_factor = 2;
+/// The part of a head that is not complete is held up to three times: while its buffer grows, and as a field.
+constexpr std::size_t unparsed_factor = 3;
+/// A connection frees its input buffer after a request if it is larger than this, in bytes.
+constexpr std::size_t max_kept_input_bytes = 64U << 10U;
 /// When the caller of a request that was refused for memory may come again, in seconds.
 constexpr const char* memory_retry_after = "1";
 /// Time between two checks for idle connections.
@@ -203,11 +209,15 @@
     std::size_t answer_bytes = 0;
     /// Bytes of the bodies of the request and its answer.
     std::size_t body_bytes = 0;
+    /// Memory that the heads of the request and its answer use.
+    std::size_t request_head_bytes = 0;
+    std::size_t answer_head_bytes = 0;
   };
 
   bool is_pipeline_full() const {
     return pending_requests_.size() >= state_->settings.max_pipelined_requests ||
-           (!pending_requests_.empty() && pending_bytes_ >= state_->settings.max_pipelined_bytes);
+           (!pending_requests_.empty() &&
+            pending_bytes_ + request_head_bytes_ >= state_->settings.max_pipelined_bytes);
   }
 
   void read_request() {
@@ -227,25 +237,53 @@
     buffer_.max_size(std::max(max_head_bytes, buffer_.size()));
     parser_->eager(true);
     stream_.expires_never();
-    read_some();
+    if (buffer_.size() == 0) {
+      read_some();
+      return;
+    }
+    // Not at once: the requests of a pipeline would be handled in each other's calls.
+    asio::post(stream_.get_executor(), [self = shared_from_this()]() { self->on_read_some({}, 0); });
   }
 
+  /// Reads once. Not with the library's function, which goes on until a whole field has come.
   void read_some() {
-    beast::http::async_read_some(
-        stream_, buffer_, *parser_,
-        [self = shared_from_this()](beast::error_code error, std::size_t) { self->on_read_some(error); });
+    const std::size_t size = beast::read_size(buffer_, max_read_bytes);
+    if (size == 0) {
+      finish_reading(beast::http::error::buffer_overflow);
+      return;
+    }
+    stream_.async_read_some(buffer_.prepare(size),
+                            [self = shared_from_this()](beast::error_code error, std::size_t received) {
+                              self->on_read_some(error, received);
+                            });
   }
 
-  void on_read_some(beast::error_code error) {
+  void on_read_some(beast::error_code error, std::size_t received) {
+    buffer_.commit(received);
     if (is_refused_ && !is_closed_) {
       refuse_for_memory();
       return;
     }
-    if (!error && !parser_->is_done() && !is_closed_ && !is_lingering_) {
-      set_unfinished_request_bytes(parser_->body_size());
-      read_some();
+    while (!error && !is_closed_ && !is_lingering_ && !parser_->is_done() && buffer_.size() > 0) {
+      buffer_.consume(parser_->put(buffer_.data(), error));
+    }
+    if (error == beast::http::error::need_more) {
+      error = {};
+    }
+    if (error == asio::error::eof) {
+      error = beast::http::error::end_of_stream;
+    }
+    if (error || is_closed_ || is_lingering_ || parser_->is_done()) {
+      finish_reading(error);
       return;
     }
+    unfinished_head_bytes_ = parser_->head_bytes() + unparsed_factor * buffer_.size();
+    set_unfinished_request_bytes(parser_->body_size());
+    read_some();
+  }
+
+  void finish_reading(beast::error_code error) {
+    unfinished_head_bytes_ = 0;
     set_unfinished_request_bytes(0);
     on_read(error);
   }
@@ -272,9 +310,14 @@
     const std::uint64_t exchange_id = next_exchange_id();
     const bool keep_alive = parser_->keep_alive();
     const std::size_t body_bytes = parser_->body_size();
+    const std::size_t head_bytes = parser_->head_bytes();
     request_message request = parser_->release();
-    pending_requests_.push_back({exchange_id, keep_alive, std::nullopt, 0, body_bytes});
+    if (buffer_.size() == 0 && buffer_.capacity() > max_kept_input_bytes) {
+      buffer_.shrink_to_fit();
+    }
+    pending_requests_.push_back({exchange_id, keep_alive, std::nullopt, 0, body_bytes, head_bytes});
     pending_bytes_ += body_bytes;
+    request_head_bytes_ += head_bytes;
     update_held();
     is_accepting_requests_ = keep_alive && !state_->stopping;
     state_->handler->on_request(exchange_id, std::move(request),
@@ -307,6 +350,7 @@
     is_accepting_requests_ = false;
     parser_.reset();
     buffer_ = beast::flat_buffer(buffer_.max_size());
+    unfinished_head_bytes_ = 0;
     set_unfinished_request_bytes(0);
     answer_message problem = make_problem(call_outcome::not_run, call_reason::queue_full, "");
     set_header(problem.fields, "Retry-After", memory_retry_after);
@@ -399,8 +443,7 @@
     std::deque<pending_request> abandoned;
     abandoned.swap(pending_requests_);
     for (const pending_request& pending : abandoned) {
-      pending_bytes_ -= pending.body_bytes;
-      subtract_answer_bytes(pending.answer_bytes);
+      release(pending);
       if (!pending.answer) {
         state_->handler->on_disconnect(pending.exchange_id);
       }
@@ -412,6 +455,8 @@
       if (pending.exchange_id == exchange_id && !pending.answer) {
         pending.body_bytes += content.body.size();
         pending.answer_bytes = content.body.size();
+        pending.answer_head_bytes = size_in_bytes(content) - content.body.size();
+        answer_head_bytes_ += pending.answer_head_bytes;
         pending_bytes_ += content.body.size();
         add_answer_bytes(content.body.size());
         pending.answer = std::move(content);
@@ -456,8 +501,7 @@
     written_body_ = std::string();
     const pending_request written = std::move(pending_requests_.front());
     pending_requests_.pop_front();
-    pending_bytes_ -= written.body_bytes;
-    subtract_answer_bytes(written.answer_bytes);
+    release(written);
     if (error) {
       disconnect();
       return;
@@ -495,9 +539,12 @@
   /// Tells the server what this connection holds, if that has changed noticeably.
   void update_held() {
     const bool has_length = !parser_ || !parser_->chunked();
-    const std::size_t unfinished = unfinished_request_bytes_ * (has_length ? 1 : growth_factor);
-    const std::size_t bytes = state_->settings.held.charged_bytes(unfinished + answer_bytes_);
-    const std::size_t pinned = state_->settings.held.charged_bytes(pending_bytes_ - answer_bytes_);
+    const std::size_t unfinished =
+        unfinished_head_bytes_ + unfinished_request_bytes_ * (has_length ? 1 : growth_factor);
+    const std::size_t answers = answer_head_bytes_ + answer_bytes_;
+    const std::size_t bytes = state_->settings.held.charged_bytes(unfinished + answers);
+    const std::size_t pinned =
+        state_->settings.held.charged_bytes(request_head_bytes_ + pending_bytes_ - answer_bytes_);
     waits_since_ = pending_requests_.empty() && !is_writing_ ? last_activity_.time_since_epoch().count() : 0;
     if (bytes == held_bytes_ && pinned == pinned_bytes_) {
       return;
@@ -515,9 +562,13 @@
     update_held();
   }
 
-  void subtract_answer_bytes(std::size_t bytes) {
-    answer_bytes_ -= bytes;
-    state_->unwritten_answer_bytes -= bytes;
+  /// The request was answered or abandoned.
+  void release(const pending_request& ended) {
+    pending_bytes_ -= ended.body_bytes;
+    request_head_bytes_ -= ended.request_head_bytes;
+    answer_head_bytes_ -= ended.answer_head_bytes;
+    answer_bytes_ -= ended.answer_bytes;
+    state_->unwritten_answer_bytes -= ended.answer_bytes;
     update_held();
   }
 
@@ -541,8 +592,12 @@
   std::size_t pending_bytes_ = 0;
   /// Sum of pending_request::answer_bytes.
   std::size_t answer_bytes_ = 0;
-  /// Bytes of the body of the request that is being read.
+  /// Bytes of the body of the request that is being read, and memory that its head uses.
   std::size_t unfinished_request_bytes_ = 0;
+  std::size_t unfinished_head_bytes_ = 0;
+  /// Sums of pending_request::request_head_bytes and pending_request::answer_head_bytes.
+  std::size_t request_head_bytes_ = 0;
+  std::size_t answer_head_bytes_ = 0;
   /// Number of the connection in server_state.
   std::uint64_t number_;
   /// What server_state was told of this connection.
--- a/nutmegarch/http/server.h
+++ b/nutmegarch/http/server.h
@@ -47,15 +47,14 @@
   duration stopping_idle_timeout = std::chrono::seconds(60);
   /// Maximum number of requests of one connection that are read before the first of them is answered.
   std::size_t max_pipelined_requests = 64;
-  /// No further request of a connection is read while the bodies of its pending requests and unwritten
+  /// No further request of a connection is read while its pending requests and the bodies of its unwritten
   /// answers have this many bytes or more.
   std::size_t max_pipelined_bytes = 1U << 20U;
   /// Maximum number of open connections. For a further one, the connection is closed that has waited longest
   /// for a complete request; without such a one, the further one.
   int max_connections = 1024;
-  /// Byte budget of all callers together: bodies that are being read, requests that run, answers that are not
-  /// written. Beyond it, the largest unfinished request is refused, or the connection with the largest answer
-  /// closed.
+  /// Byte budget of all callers together: requests that are being read or run, answers that are not written.
+  /// Beyond it, the largest unfinished request is refused, or the connection with the largest answer closed.
   policy::buffer_budget_settings held = {64U << 20U, 16U << 10U};
 };
 
--- a/nutmegarch/node/inbound_path.cpp
+++ b/nutmegarch/node/inbound_path.cpp
@@ -64,7 +64,7 @@
       call.context.inner = call.context.inner || state_.inner_routes.is_inner(call.context.route);
     }
     call_entry new_entry;
-    new_entry.body_bytes = call.request->body.size();
+    new_entry.held_bytes = nutmegarch::size_in_bytes(*call.request);
     new_entry.request = call.request;
     if (call.context.known_target_rate) {
       const policy::rate_change change = state_.receiver.on_peer_rate(*call.context.known_target_rate, now);
@@ -95,7 +95,7 @@
       new_entry.answer = std::move(answer);
       const policy::inbound_call_ptr offered = new_entry.call;
       key_by_request_[hash_of(call.context.id)] = key;
-      held_bytes_ += new_entry.body_bytes;
+      held_bytes_ += new_entry.held_bytes;
       calls_.emplace(key, std::move(new_entry));
       policy::receiver_actions actions;
       state_.receiver.offer(offered, now, actions);
@@ -293,10 +293,10 @@
   return calls_.empty();
 }
 
-bool inbound_path::is_too_large_now(std::size_t body_bytes) const {
+bool inbound_path::is_too_large_now(std::size_t request_bytes) const {
   const std::size_t limit = state_.settings.max_inbound_bytes;
   // A single large request passes while little else is held.
-  return held_bytes_ + body_bytes > limit && held_bytes_ > limit / small_part;
+  return held_bytes_ + request_bytes > limit && held_bytes_ > limit / small_part;
 }
 
 std::optional<protocol::peer_answer> inbound_path::refuse_early(const protocol::peer_call& call,
@@ -332,7 +332,7 @@
   if (state_.is_revalidating(now)) {
     return refuse(call_reason::revalidating);
   }
-  if (is_too_large_now(new_entry.body_bytes)) {
+  if (is_too_large_now(new_entry.held_bytes)) {
     state_.metrics.add("calls_refused_for_memory");
     return refuse(call_reason::queue_full);
   }
@@ -425,7 +425,7 @@
   auto found = calls_.find(key);
   call_entry ended = std::move(found->second);
   calls_.erase(found);
-  held_bytes_ -= ended.body_bytes;
+  held_bytes_ -= ended.held_bytes;
   keys_by_deadline_.erase({ended.call->deadline, key});
   auto by_request = key_by_request_.find(hash_of(ended.call->context.id));
   if (by_request != key_by_request_.end() && by_request->second == key) {
--- a/nutmegarch/node/inbound_path.h
+++ b/nutmegarch/node/inbound_path.h
@@ -85,7 +85,7 @@
   bool is_idle() const;
   /// Number of calls that are running or waiting. Requires the state's lock.
   std::size_t size() const { return calls_.size(); }
-  /// Bytes of the bodies of these calls' requests. Requires the state's lock.
+  /// Bytes of these calls' requests. Requires the state's lock.
   std::size_t size_in_bytes() const { return held_bytes_; }
 
  private:
@@ -93,8 +93,8 @@
     policy::inbound_call_ptr call;
     /// Null once it was handed over to the target, which gets it once.
     std::shared_ptr<const request_message> request;
-    /// Bytes of the request's body.
-    std::size_t body_bytes = 0;
+    /// Bytes of the request.
+    std::size_t held_bytes = 0;
     answer_callback answer;
     policy::retry_token_pool_ptr token_pool;
     /// The table that owns `rules`; null when the call was not subject to rule enforcement.
@@ -138,8 +138,8 @@
   std::optional<protocol::peer_answer> check_ticket(const call_context& context,
                                                     const answer_callback& answer, call_entry& new_entry,
                                                     time_point now);
-  /// True when the bodies of the calls that wait or run leave no room for one of this size.
-  bool is_too_large_now(std::size_t body_bytes) const;
+  /// True when the requests of the calls that wait or run leave no room for one of this size.
+  bool is_too_large_now(std::size_t request_bytes) const;
   void apply_actions(const policy::receiver_actions& actions, deferred_work& deferred);
   void end_call(std::uint64_t key, protocol::peer_answer content, deferred_work& deferred);
   void run_deferred(deferred_work& deferred);
@@ -170,7 +170,7 @@
 
   /// Guarded by the state's lock.
   std::unordered_map<std::uint64_t, call_entry> calls_;
-  /// Sum of call_entry::body_bytes.
+  /// Sum of call_entry::held_bytes.
   std::size_t held_bytes_ = 0;
   /// Keys of calls by the hash of their request id.
   std::unordered_map<std::uint64_t, std::uint64_t> key_by_request_;
--- a/nutmegarch/node/node_settings.h
+++ b/nutmegarch/node/node_settings.h
@@ -148,7 +148,7 @@
   membership::version_lag_settings configuration_lag;
   membership::view_confirmation_settings view;
   organisation_settings organisations;
-  /// Bytes of the bodies of calls that wait for the target or run there. Calls beyond it are refused.
+  /// Bytes of the requests of calls that wait for the target or run there. Calls beyond it are refused.
   std::size_t max_inbound_bytes = 32U << 20U;
   fleet_retry_settings fleet_retries;
   fleet_link_settings fleet_link;
--- a/nutmegarch/node/outbound_path.cpp
+++ b/nutmegarch/node/outbound_path.cpp
@@ -171,9 +171,9 @@
 std::size_t outbound_path::size_in_bytes() const {
   std::size_t total = 0;
   for (const std::pair<const std::uint64_t, open_call>& entry : calls_) {
-    total += entry.second.request->body.size();
+    total += nutmegarch::size_in_bytes(*entry.second.request);
     for (const std::pair<const std::size_t, protocol::peer_answer>& answer : entry.second.answers) {
-      total += answer.second.message.body.size();
+      total += nutmegarch::size_in_bytes(answer.second.message);
     }
   }
   return total;
--- a/unit_tests/command/crowd_test.cpp
+++ b/unit_tests/command/crowd_test.cpp
@@ -22,13 +22,18 @@
 /// taken.
 constexpr std::chrono::seconds crowd_time{60};
 
-served_node_options crowd_options(std::size_t answer_bytes) {
+/// Limit of a head where the crowd sends long ones.
+constexpr std::size_t long_head_bytes = mebibyte;
+
+served_node_options crowd_options(std::size_t answer_bytes, std::size_t max_head_bytes) {
   served_node_options options;
   options.settings = R"(, "callers": {"most_body_bytes": 4194304, "most_connections": 200},
       "memory": {"limit_mb": 128})";
   options.target_settings = R"(, "most_answer_bytes": 16777216)";
-  options.resources = R"(, {"ResourceType": "Limits", "Metadata": {}, "Spec": {"MaxHeaderBytes": 16384,
+  options.resources = R"(, {"ResourceType": "Limits", "Metadata": {}, "Spec": {"MaxHeaderBytes": )" +
+                      std::to_string(max_head_bytes) + R"(,
       "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 60000, "IdleTimeoutMs": 60000}})";
+  options.target.max_head_bytes = 2 * max_head_bytes;
   options.answer_bytes = answer_bytes;
   options.target.max_body_bytes = max_body_bytes;
   return options;
@@ -98,7 +103,8 @@
 /// A node and the crowd that besets it.
 class beset_node : public served_node {
  public:
-  explicit beset_node(std::size_t answer_bytes = 5000) : served_node(crowd_options(answer_bytes)) {}
+  explicit beset_node(std::size_t answer_bytes = 5000, std::size_t max_head_bytes = 16384)
+      : served_node(crowd_options(answer_bytes, max_head_bytes)) {}
 
   crowd_member& add_member() {
     members_.emplace_back(*this);
@@ -145,6 +151,12 @@
   node_with_long_answers() : beset_node(8 * mebibyte) {}
 };
 
+/// A node whose callers may send long heads.
+class node_with_long_heads : public beset_node {
+ public:
+  node_with_long_heads() : beset_node(5000, long_head_bytes) {}
+};
+
 constexpr int large_crowd = 64;
 
 }  // namespace
@@ -238,6 +250,39 @@
   check();
 }
 
+// Heads count like bodies: one field of each member is as long as the limit bears.
+BOOST_FIXTURE_TEST_CASE(long_heads_that_stop_short, node_with_long_heads) {
+  constexpr int pieces = 16;
+  const std::string piece(long_head_bytes / pieces, 'h');
+  std::vector<crowd_member*> crowd;
+  for (int i = 0; i < max_connections - 10; ++i) {
+    crowd.push_back(&add_member());
+    crowd.back()->write("GET /look HTTP/1.1\r\nHost: shop.example\r\nCookie: ");
+  }
+  for (int i = 0; i + 1 < pieces; ++i) {
+    for (crowd_member* const member : crowd) {
+      member->write(piece);
+    }
+  }
+  check();
+}
+
+BOOST_FIXTURE_TEST_CASE(long_heads_of_many_fields_at_once, node_with_long_heads) {
+  std::string fields;
+  while (fields.size() < long_head_bytes - 1024) {
+    fields += "X-A: " + std::string(100, 'h') + "\r\n";
+  }
+  std::vector<std::thread> senders;
+  for (int i = 0; i < max_connections - 10; ++i) {
+    crowd_member& member = add_member();
+    senders.emplace_back([&member, &fields]() { member.write(head_of("GET", fields)); });
+  }
+  for (std::thread& sender : senders) {
+    sender.join();
+  }
+  check();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace nutmegarch::command
