Allowances: a node knows itself where others reach it

What callers saw: where the address at which a node listens for peers isn't the one under which others reach it, requests of organisations got 503 at every node: no node took itself for the keeper.

Cause: a node compared the addresses of keepers, made from the published targets, with the address at which it listens.

Change: a node's own address among the keepers is that of the published target beside it.

Test: node_process/allowance_is_granted_by_a_node_that_others_reach_at_another_address; before, no answer of 200 in 30 s.

--- a/nutmegarch/node/allowance_path.cpp
+++ b/nutmegarch/node/allowance_path.cpp
@@ -20,11 +20,11 @@
     : state_(state),
       peers_(peers),
       cache_(state.settings.organisations.cache),
-      keeper_(state.settings.organisations.keeper, state.settings.listen.peers),
+      keeper_(state.settings.organisations.keeper),
       route_(state.settings.organisations.route) {}
 
-void allowance_path::set_nodes(std::vector<std::string> addresses) {
-  keeper_.set_nodes(std::move(addresses), state_.clock.now());
+void allowance_path::set_nodes(std::vector<std::string> addresses, std::string own_address) {
+  keeper_.set_nodes(std::move(addresses), std::move(own_address), state_.clock.now());
 }
 
 void allowance_path::acquire(std::uint64_t key, const std::string& organisation, decision_callback decided) {
@@ -207,7 +207,7 @@
     } else {
       id = ++last_question_;
       questions_[id] = {organisation, wanted, *step, now};
-      if (step->address == state_.settings.listen.peers) {
+      if (step->address == keeper_.own_address()) {
         own_reply = reply_to(organisation, wanted, now);
       }
       state_.metrics.add("allowance_questions");
--- a/nutmegarch/node/allowance_path.h
+++ b/nutmegarch/node/allowance_path.h
@@ -28,8 +28,9 @@
   /// `state` and `peers` must outlive the object.
   allowance_path(node_state& state, protocol::peer_network& peers);
 
-  /// Sets the addresses of the nodes that take calls. Requires the state's lock.
-  void set_nodes(std::vector<std::string> addresses);
+  /// Sets the addresses of the nodes that take calls, and this node's among them, empty if it is not there.
+  /// Requires the state's lock.
+  void set_nodes(std::vector<std::string> addresses, std::string own_address);
   /// Asks for permission for one request of the organisation. `decided` runs once, without the state's lock,
   /// possibly before this function returns, unless the request is cancelled first.
   void acquire(std::uint64_t key, const std::string& organisation, decision_callback decided);
--- a/nutmegarch/node/store_synchronizer.cpp
+++ b/nutmegarch/node/store_synchronizer.cpp
@@ -607,15 +607,25 @@
   }
 }
 
+bool store_synchronizer::is_local(const membership::published_host& host) const {
+  return host.address == state_.settings.target.address;
+}
+
 void store_synchronizer::set_keepers(const std::vector<membership::published_host>& hosts) {
-  // This node is a keeper only if the others know it: else it would grant to itself beside their keeper.
+  // This node is a keeper only if the others know it, and where they reach it, which may not be where it
+  // listens: else it would grant to itself beside their keeper.
   std::vector<std::string> keepers;
+  std::string own_address;
   for (const membership::published_host& host : hosts) {
-    if (!host.leaving) {
-      keepers.push_back(host.peer_address);
+    if (host.leaving) {
+      continue;
+    }
+    keepers.push_back(host.peer_address);
+    if (is_local(host)) {
+      own_address = host.peer_address;
     }
   }
-  allowances_->set_nodes(std::move(keepers));
+  allowances_->set_nodes(std::move(keepers), std::move(own_address));
 }
 
 void store_synchronizer::set_retry_budget_share(std::size_t nodes) {
@@ -643,7 +653,7 @@
 
 void store_synchronizer::apply_local_target(const std::vector<membership::published_host>& hosts) {
   for (const membership::published_host& host : hosts) {
-    if (host.address == state_.settings.target.address && !host.leaving) {
+    if (is_local(host) && !host.leaving) {
       state_.receiver.set_slots(host.slots);
     }
   }
--- a/nutmegarch/node/store_synchronizer.h
+++ b/nutmegarch/node/store_synchronizer.h
@@ -117,6 +117,8 @@
                         time_point now);
   /// Applies the slots of the target beside this node.
   void apply_local_target(const std::vector<membership::published_host>& hosts);
+  /// True if the host is the target beside this node.
+  bool is_local(const membership::published_host& host) const;
   /// Sets the nodes that keep the allowances of organisations.
   void set_keepers(const std::vector<membership::published_host>& hosts);
   /// Sets this node's share of the fleet's retry budget. `nodes`: the size of the fleet.
--- a/nutmegarch/organisations/allowance_keeper.cpp
+++ b/nutmegarch/organisations/allowance_keeper.cpp
@@ -4,7 +4,9 @@
 
 namespace nutmegarch::organisations {
 
-void allowance_keeper::set_nodes(std::vector<std::string> addresses, time_point now) {
+void allowance_keeper::set_nodes(std::vector<std::string> addresses, std::string own_address,
+                                 time_point now) {
+  own_address_ = std::move(own_address);
   if (owners_.set_nodes(std::move(addresses))) {
     nodes_changed_ = now;
   }
--- a/nutmegarch/organisations/allowance_keeper.h
+++ b/nutmegarch/organisations/allowance_keeper.h
@@ -32,15 +32,14 @@
 /// keeper does not grant. No I/O; not thread-safe.
 class allowance_keeper {
  public:
-  /// `own_address` is this node's among those of set_nodes().
-  allowance_keeper(const allowance_keeper_settings& settings, std::string own_address)
-      : settings_(settings),
-        own_address_(std::move(own_address)),
-        ledger_(settings.ledger),
-        watch_(settings.watch) {}
+  explicit allowance_keeper(const allowance_keeper_settings& settings)
+      : settings_(settings), ledger_(settings.ledger), watch_(settings.watch) {}
 
-  /// Sets the addresses of all nodes that take calls, including this one.
-  void set_nodes(std::vector<std::string> addresses, time_point now);
+  /// Sets the addresses of all nodes that take calls. `own_address` is this node's among them, empty if it is
+  /// not there.
+  void set_nodes(std::vector<std::string> addresses, std::string own_address, time_point now);
+  /// See set_nodes().
+  const std::string& own_address() const { return own_address_; }
   /// Must be called periodically.
   void on_tick(time_point now) { ledger_.on_tick(now); }
   /// This node may be cut off, so that other nodes grant in its place.
--- a/unit_tests/command/node_process_test.cpp
+++ b/unit_tests/command/node_process_test.cpp
@@ -191,6 +191,21 @@
   BOOST_TEST(count_of(process->output(), "event=node-stopped") == 1U);
 }
 
+// A node that did not recognise itself among the published ones granted no allowance, or granted beside the
+// others' keeper.
+BOOST_AUTO_TEST_CASE(allowance_is_granted_by_a_node_that_others_reach_at_another_address) {
+  served_node_options options;
+  const std::string other = free_address();
+  options.peers_ip = other.substr(0, other.rfind(':'));
+  options.key = "key-of-the-bakers";
+  options.resources = R"(, {"ResourceType": "Tenants", "Metadata": {"Name": "bakers"},
+                            "Spec": {"ApiKeys": [")" +
+                      options.key + R"("], "RatePerS": 10, "Burst": 30, "Priority": 1}})";
+  // Waits for an answer of the target.
+  const served_node node(options);
+  BOOST_TEST(node.seen() > 0);
+}
+
 // A reload must not take the node's memory.
 BOOST_FIXTURE_TEST_CASE(a_reload_of_a_huge_file_is_refused_unread, served_node) {
   std::ofstream(settings()).close();
--- a/unit_tests/command/served_node.h
+++ b/unit_tests/command/served_node.h
@@ -66,12 +66,14 @@
   std::string store() const { return ip_ + ":20009"; }
 
   /// The settings. `more` are further ones and `target_settings` further ones of the target, each with a
-  /// comma before.
-  std::string content(const std::string& more = "", const std::string& target_settings = "") const {
+  /// comma before. `peers_ip` is where the node listens for peers, if not where others reach it.
+  std::string content(const std::string& more = "", const std::string& target_settings = "",
+                      const std::string& peers_ip = "") const {
     return R"({"node": {"service": "shop", "host": ")" + ip_ +
            R"(", "domain": "z", "region": "r"}, "listen": {"callers": ")" + ip_ + R"(:20002", "peers": ")" +
-           ip_ + R"(:20000", "admin": ")" + ip_ + R"(:20003"}, "target": {"address": ")" + ip_ +
-           R"(:20001")" + target_settings + R"(}, "platform": {"address": ")" + ip_ +
+           (peers_ip.empty() ? ip_ : peers_ip) + R"(:20000", "admin": ")" + ip_ +
+           R"(:20003"}, "target": {"address": ")" + ip_ + R"(:20001")" + target_settings +
+           R"(}, "platform": {"address": ")" + ip_ +
            R"(:20009", "dialect": "metadata-store"}, "lifecycle": {"leave_grace": "50ms"})" + more + "}";
   }
 
@@ -141,6 +143,9 @@
   std::string target_settings;
   /// Further resources of the configuration, each with a comma before it.
   std::string resources;
+  std::string peers_ip = "";
+  /// Key of the callers; none if empty.
+  std::string key = "";
   std::size_t answer_bytes = 5000;
   http::server_settings target = {};
 };
@@ -151,6 +156,7 @@
   served_node() : served_node(served_node_options{}) {}
   explicit served_node(const served_node_options& options)
       : work_(boost::asio::make_work_guard(io_)),
+        key_(options.key),
         target_handler_(io_, options.answer_bytes),
         target_server_(io_, options.target, target_handler_),
         store_server_(io_, {}, store_handler_) {
@@ -167,7 +173,7 @@
                                           R"(", "Zone": "z", "Version": "v1", "Slots": 16, "State": "ready",
                                           "ColdRemainingMs": 0, "Sequence": 1, "born": 1000})");
     thread_ = std::thread([this]() { io_.run(); });
-    write(content(options.settings, options.target_settings));
+    write(content(options.settings, options.target_settings, options.peers_ip));
     process = std::make_unique<child_process>(words(), output());
     BOOST_REQUIRE(serves(*this, *process));
     BOOST_REQUIRE(wait_for([this]() { return status_of_route() == 200; }));
@@ -189,6 +195,7 @@
 
   boost::asio::io_context io_{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+  std::string key_;
   slow_target target_handler_;
   stand_ins::store_stand_in store_handler_;
   http::server target_server_;
@@ -199,7 +206,8 @@
 /// A caller's connection.
 class caller_connection {
  public:
-  explicit caller_connection(const node_files& files) : socket_(io_) {
+  explicit caller_connection(const node_files& files, std::string key = "")
+      : key_(std::move(key)), socket_(io_) {
     socket_.connect(*http::parse_address(files.callers()), error_);
   }
 
@@ -208,7 +216,8 @@
     std::string text;
     for (int i = 0; i < count; ++i) {
       text += "GET /look HTTP/1.1\r\nHost: shop.example\r\nNutmegarch-Attempt-Id: a" +
-              std::to_string(++last_id) + "\r\nNutmegarch-Deadline-Ms: 20000\r\n\r\n";
+              std::to_string(++last_id) + "\r\nNutmegarch-Deadline-Ms: 20000\r\n" +
+              (key_.empty() ? "" : "Nutmegarch-Credential: " + key_ + "\r\n") + "\r\n";
     }
     boost::asio::write(socket_, boost::asio::buffer(text), error_);
     int whole = 0;
@@ -226,6 +235,7 @@
  private:
   inline static std::atomic<int> last_id{0};
 
+  std::string key_;
   boost::asio::io_context io_;
   boost::asio::ip::tcp::socket socket_;
   boost::beast::flat_buffer buffer_;
@@ -233,7 +243,7 @@
 };
 
 inline int served_node::status_of_route() {
-  caller_connection caller(*this);
+  caller_connection caller(*this, key_);
   caller.ask(1);
   return static_cast<int>(caller.last_status);
 }
--- a/unit_tests/organisations/allowance_fleet.h
+++ b/unit_tests/organisations/allowance_fleet.h
@@ -45,8 +45,8 @@
       index_[addresses_.back()] = static_cast<std::size_t>(i);
     }
     for (const std::string& address : addresses_) {
-      nodes_.emplace_back(address);
-      nodes_.back().keeper.set_nodes(addresses_, start);
+      nodes_.emplace_back();
+      nodes_.back().keeper.set_nodes(addresses_, address, start);
       nodes_.back().view = addresses_;
     }
     owner_table owners;
@@ -112,9 +112,9 @@
     std::vector<std::string> before = addresses_;
     before.erase(before.begin() + static_cast<std::ptrdiff_t>(node));
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
-      nodes_.at(i).keeper.set_nodes(before, start);
+      nodes_.at(i).keeper.set_nodes(before, i == node ? "" : addresses_.at(i), start);
       schedule(moment(at) + from_seconds(lag * random_.uniform()),
-               [this, i]() { nodes_.at(i).keeper.set_nodes(addresses_, now_); });
+               [this, i]() { nodes_.at(i).keeper.set_nodes(addresses_, addresses_.at(i), now_); });
     }
   }
 
@@ -152,10 +152,8 @@
   static constexpr duration keeper_timeout = std::chrono::milliseconds(250);
 
   struct fake_node {
-    explicit fake_node(const std::string& address) : keeper(fleet_keeper_settings(), address) {}
-
     allowance_cache cache{allowance_cache_settings{}};
-    allowance_keeper keeper;
+    allowance_keeper keeper{fleet_keeper_settings()};
     keeper_route route{keeper_route_settings{}};
     std::vector<std::string> view;
     int waiting = 0;
@@ -224,10 +222,10 @@
   void start_anew(std::size_t node) {
     const int process = nodes_.at(node).process + 1;
     const std::vector<std::string> view = nodes_.at(node).view;
-    nodes_.at(node) = fake_node(addresses_.at(node));
+    nodes_.at(node) = fake_node();
     nodes_.at(node).process = process;
     nodes_.at(node).view = view;
-    nodes_.at(node).keeper.set_nodes(view, now_);
+    nodes_.at(node).keeper.set_nodes(view, addresses_.at(node), now_);
   }
 
   void tick() {
