Fleet: a node is not its own peer

What users saw: where peers reach a node at another address than the one at which it listens, the node exchanged state with itself and took the fleet for one node larger: smaller shares of the budgets for retries and for the link between regions, so that callers lose retries that they could have had, and a wrong place among the watches.

Test: node_process/node_that_others_reach_at_another_address_is_not_its_own_peer; one peer of none before.

--- a/nutmegarch/node/store_synchronizer.cpp
+++ b/nutmegarch/node/store_synchronizer.cpp
@@ -536,11 +536,16 @@
   for (const std::string& service : services_) {
     by_service[service];
   }
+  // Others may reach this node at another address than the one at which it listens.
+  std::string own_address = state_.settings.listen.peers;
   std::set<std::string> addresses(state_.settings.gossip.seeds.begin(), state_.settings.gossip.seeds.end());
   for (const membership::published_host& host : hosts) {
     services_.insert(host.service);
     by_service[host.service].hosts.push_back(host);
     addresses.insert(host.peer_address);
+    if (is_local(host)) {
+      own_address = host.peer_address;
+    }
   }
   std::map<std::string, int> target_counts;
   for (const std::pair<const std::string, membership::host_list>& service : by_service) {
@@ -549,12 +554,12 @@
         service.first, state_.endpoints.apply(service.first, service.second, *state_.rules.table(), now));
   }
   state_.inner_routes.set_target_counts(std::move(target_counts));
-  addresses.erase(state_.settings.listen.peers);
+  addresses.erase(own_address);
   state_.gossip.set_peers({addresses.begin(), addresses.end()});
   set_retry_budget_share(addresses.size() + 1);
   set_link_budget_share(addresses.size() + 1);
   const std::ptrdiff_t place =
-      std::distance(addresses.begin(), addresses.lower_bound(state_.settings.listen.peers));
+      std::distance(addresses.begin(), addresses.lower_bound(own_address));
   reader_.set_fleet(addresses.size() + 1, static_cast<std::size_t>(place));
   confirmer_->set_hosts(hosts);
   set_keepers(hosts);
--- a/unit_tests/command/node_process_test.cpp
+++ b/unit_tests/command/node_process_test.cpp
@@ -206,6 +206,16 @@
   BOOST_TEST(node.seen() > 0);
 }
 
+// A node that did not recognise itself counted itself as one more of the fleet, and took smaller shares of its
+// budgets.
+BOOST_AUTO_TEST_CASE(node_that_others_reach_at_another_address_is_not_its_own_peer) {
+  served_node_options options;
+  const std::string other = free_address();
+  options.peers_ip = other.substr(0, other.rfind(':'));
+  const served_node node(options);
+  BOOST_TEST(get(node.admin(), "/status").body.find("\"peers\":0") != std::string::npos);
+}
+
 // A reload must not take the node's memory.
 BOOST_FIXTURE_TEST_CASE(a_reload_of_a_huge_file_is_refused_unread, served_node) {
   std::ofstream(settings()).close();
--- a/unit_tests/command/served_node.h
+++ b/unit_tests/command/served_node.h
@@ -91,19 +91,26 @@
   std::string ip_;
 };
 
-/// Status of a GET at the node; 0 when there was no answer.
-inline int status_of(const std::string& address, const std::string& path) {
+/// Answer to a GET at the node; its status is 0 when there was none.
+inline answer_message get(const std::string& address, const std::string& path) {
   boost::asio::io_context context;
   http::client_pool pool(context, *http::parse_address(address), {});
-  int status = 0;
+  answer_message answer;
+  answer.status = 0;
   request_message request;
   request.method = "GET";
   request.target = path;
   pool.send(request, patience, [&](const result<answer_message, http::client_error>& outcome) {
-    status = succeeded(outcome) ? std::get<answer_message>(outcome).status : 0;
+    if (succeeded(outcome)) {
+      answer = std::get<answer_message>(outcome);
+    }
   });
   context.run();
-  return status;
+  return answer;
+}
+
+inline int status_of(const std::string& address, const std::string& path) {
+  return get(address, path).status;
 }
 
 inline bool serves(const node_files& files, child_process& process) {
