Soak: an organisation beyond its allowance

--organisations adds an organisation with a key of its own, whose clients at each node ask for six times its allowance, and the promise QUOTA: no window with more of its requests than the platform's bound allows, whatever is stopped, killed or paused.

--- a/nutmegarch/node/store_synchronizer.cpp
+++ b/nutmegarch/node/store_synchronizer.cpp
@@ -558,8 +558,7 @@
   state_.gossip.set_peers({addresses.begin(), addresses.end()});
   set_retry_budget_share(addresses.size() + 1);
   set_link_budget_share(addresses.size() + 1);
-  const std::ptrdiff_t place =
-      std::distance(addresses.begin(), addresses.lower_bound(own_address));
+  const std::ptrdiff_t place = std::distance(addresses.begin(), addresses.lower_bound(own_address));
   reader_.set_fleet(addresses.size() + 1, static_cast<std::size_t>(place));
   confirmer_->set_hosts(hosts);
   set_keepers(hosts);
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -69,6 +69,8 @@
         self.arrivals = defaultdict(lambda: defaultdict(int))
         self.asked = defaultdict(lambda: defaultdict(int))
         self.counts = defaultdict(int)
+        self.keyed_runs = []
+        self.most_keyed = 0
 
     # What the soak does.
 
@@ -118,6 +120,8 @@
         request.sent = time.monotonic()
         self.requests[request.ident] = request
         self.counts["sent"] += 1
+        if request.kind == "keyed":
+            return
         for service in SERVICES_OF.get(request.kind, ("shop",)):
             self.asked[service][int(request.sent)] += 1
 
@@ -189,6 +193,8 @@
         request.runs.append((instance, int(words[2]) / 1000))
         if request.kind in ONCE and len(request.runs) > 1:
             self.fail("TWICE", str(request))
+        if request.kind == "keyed":
+            self.keyed_runs.append((request.sent, request.runs[-1][1]))
         path_and_body = [request.method, request.path, "%x" % zlib.crc32(request.body.encode())]
         if words[3:6] != path_and_body:
             self.fail("UNASKED", "%s ran %s, changed: %s" % (instance, words, request))
@@ -268,6 +274,21 @@
                 self.fail("BUDGET", "%d extra arrivals at %s in %d s, allowed %.0f" % (
                     total(extra, now), service, length, allowed))
 
+    def check_allowance(self, allowance):
+        """Runs of the organisation's requests within any window, wherever they ran and whatever happened."""
+        window = BOUNDS["QuotaWindowS"]
+        allowed = (allowance["RatePerS"] * window + allowance["Burst"]) * (
+            1 + BOUNDS["QuotaOverage"]) + BOUNDS["QuotaSlack"]
+        now = time.monotonic()
+        self.keyed_runs = [run for run in self.keyed_runs if run[0] > now - window - 2 * LINE_DELAY]
+        for begin, _ in self.keyed_runs:
+            count = sum(sent >= begin and at <= begin + window for sent, at in self.keyed_runs)
+            self.most_keyed = max(self.most_keyed, count)
+            if count > allowed:
+                self.fail("QUOTA", "%d requests of an organisation ran from %.3f s on in %d s, allowed %.0f" % (
+                    count, begin - self.begin, window, allowed))
+                return
+
     def served_share(self, begin, end, host=None):
         mine = [request for request in self.requests.values() if request.sent and begin <= request.sent < end
                 and request.kind in SERVICES_OF and request.deadline and host in (None, request.host)]
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -4,9 +4,13 @@
 import time
 
 from checks import ONCE, Request
+from faults import ALLOWANCE, KEY
 
 KINDS = ("look", "look", "peek", "chain", "split", "buy", "take")
 GRACE = 1.0
+# How much of its allowance the organisation asks for, and over how many connections at each node.
+OVERLOAD = 6
+KEYED_CLIENTS = 4
 
 
 async def read_answer(reader):
@@ -49,6 +53,7 @@
     def encode(request, close):
         text = "%s %s HTTP/1.1\r\nHost: shop.example\r\nNutmegarch-Attempt-Id: %s\r\nNutmegarch-Deadline-Ms: %d\r\n" % (
             request.method, request.path, request.ident, request.deadline * 1000)
+        text += "Nutmegarch-Credential: %s\r\n" % KEY if request.kind == "keyed" else ""
         text += "Nutmegarch-Caller-Service: forged\r\n" + ("Connection: close\r\n" if close else "")
         if request.body and len(request.body) < 100:
             text += "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n" % (len(request.body), request.body)
@@ -128,6 +133,11 @@
                 self.drop()
             await asyncio.sleep(pause)
 
+    async def run_keyed(self, pace):
+        while True:
+            await self.send([self.make("keyed")])
+            await asyncio.sleep(self.random.expovariate(1) * pace)
+
     async def run_probe(self):
         """Asks by turns for the routes that only the newest and the version before it have."""
         turn = 0
@@ -138,11 +148,14 @@
             await asyncio.sleep(0.15)
 
 
-def start(host, checker, random_of, pace):
+def start(host, checker, random_of, pace, has_organisations, nodes):
     def client(name):
         return Client(host, checker, random_of("%s-%s" % (host.name, name)))
 
     runs = [client("kept-%d" % i).run_kept(pace) for i in range(3)]
     runs += [client("ahead").run_pipelined(3 * pace), client("fresh").run_fresh(2 * pace),
              client("idle").run_idle(8), client("probe").run_probe()]
+    if has_organisations:
+        keyed_pace = nodes * KEYED_CLIENTS / (OVERLOAD * ALLOWANCE["RatePerS"])
+        runs += [client("keyed-%d" % i).run_keyed(keyed_pace) for i in range(KEYED_CLIENTS)]
     return [asyncio.create_task(run) for run in runs]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -40,7 +40,17 @@
     return events
 
 
-def manifest(version):
+# One organisation, for runs with --organisations. All routes but one are exempt from keys.
+ALLOWANCE = {"RatePerS": 40, "Burst": 20}
+KEY = "key-of-the-bakers"
+
+
+def organisations():
+    return [{"ResourceType": "Tenants", "Metadata": {"Name": "bakers"},
+             "Spec": {"ApiKeys": [KEY], "Priority": 1, **ALLOWANCE}}]
+
+
+def manifest(version, has_organisations=False):
     routes = [("look", "shop", True), ("buy", "shop", False), ("chain", "shop", True), ("peek", "stock", True),
               ("take", "stock", False), ("v%d" % version, "shop", True)]
     resources = [{"ResourceType": "Limits", "Metadata": {"Name": "limits"}, "Spec": {
@@ -51,12 +61,14 @@
     def route(name, where, is_idempotent):
         spec = {"Host": "shop.example", "Prefix": "/%s/" % name, "TimeoutMs": 4000, "TargetLatencyMs": 1000,
                 "Kind": "idempotent" if is_idempotent else "non_idempotent", "Priority": 0,
-                "MaxAttempts": MOST_ATTEMPTS}
+                "MaxAttempts": MOST_ATTEMPTS, "AuthExempt": name != "keyed"}
         return {"ResourceType": "Routes", "Metadata": {"Name": name}, "Spec": {**spec, **where}}
 
     resources += [route(name, {"Service": service}, kind) for name, service, kind in routes]
     resources.append(route("split", {"Split": [{"Service": "shop", "Weight": 2}, {"Service": "stock", "Weight": 1}]},
                            True))
+    if has_organisations:
+        resources += organisations() + [route("keyed", {"Service": "shop"}, True)]
     return json.dumps({"Version": version, "Resources": resources})
 
 
@@ -71,8 +83,8 @@
 class Faults:
     """Does the events of a plan. What is planned work and what disturbs is told to the checks."""
 
-    def __init__(self, fleet, checker):
-        self.fleet, self.checker = fleet, checker
+    def __init__(self, fleet, checker, has_organisations=False):
+        self.fleet, self.checker, self.has_organisations = fleet, checker, has_organisations
         self.busy = set()
 
     async def do(self, kind, host, length, detail):
@@ -127,7 +139,7 @@
     async def configure(self, host, length, step):
         version = self.checker.newest + step
         self.checker.newest = version
-        if await self.fleet.store("put/op/config", manifest(version)) == 200:
+        if await self.fleet.store("put/op/config", manifest(version, self.has_organisations)) == 200:
             self.checker.acknowledged[version] = time.monotonic()
 
     async def retire(self, host, *_):
@@ -241,7 +253,7 @@
         await self.fleet.store("return")
         await self.fleet.store("mode/good")
         await asyncio.sleep(delay)
-        await self.fleet.store("put/op/config", manifest(self.checker.newest))
+        await self.fleet.store("put/op/config", manifest(self.checker.newest, self.has_organisations))
         for host in self.fleet.hosts:
             for instance, entry in list(host.published.items()):
                 await host.publish(instance, entry)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -14,7 +14,8 @@
 # Bounds of the platform that the settings and the checks share, in the users' names.
 BOUNDS = {"GraceS": 6, "RetryBudgetRatio": 0.2, "RetrySlack": 49, "BudgetWindowS": 10, "DrainMs": 2500,
           "ConfigApplyMs": 2500, "RollbackSlackMs": 250, "StableWindowMs": 3000, "LossSlackMs": 200,
-          "RecoveryS": 15}
+          "RecoveryS": 15, "StrictRevoke": True, "RevokeMs": 5000, "QuotaWindowS": 5, "QuotaOverage": 0.25,
+          "QuotaSlack": 20}
 SLOTS = 16
 
 
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -47,6 +47,8 @@
     parser.add_argument("--binary", default=os.path.join(ROOT, "build", "nutmegarch"), help="program under soak")
     parser.add_argument("--folder", help="where the run keeps its files, best in memory: a busy disk stops their writers")
     parser.add_argument("--logs", help="folder that gets the folder of a run")
+    parser.add_argument("--organisations", action="store_true",
+                        help="an organisation asks for a multiple of its allowance")
     parser.add_argument("--plan", action="store_true", help="only prints the plan")
     return parser.parse_args()
 
@@ -58,7 +60,7 @@
         self.timeline = open(os.path.join(self.folder, "timeline"), "w")
         self.checker = Checker(self.say)
         self.fleet = Fleet(self.folder, chosen.nodes, chosen.binary, self.checker.on_server_line)
-        self.faults = faults.Faults(self.fleet, self.checker)
+        self.faults = faults.Faults(self.fleet, self.checker, chosen.organisations)
         self.tasks = []
         self.waits = {}
 
@@ -87,6 +89,11 @@
         span = self.checker.disturb()
         span[1] = time.monotonic()
 
+    async def watch_allowance(self):
+        while True:
+            self.checker.check_allowance(faults.ALLOWANCE)
+            await asyncio.sleep(1)
+
     async def watch_processes(self):
         while True:
             for host in self.fleet.hosts:
@@ -148,12 +155,14 @@
         self.say("all nodes are ready")
         first = time.monotonic()
         for host in self.fleet.hosts:
-            for task in clients.start(host, self.checker, self.random_of, pace):
+            for task in clients.start(host, self.checker, self.random_of, pace, chosen.organisations, chosen.nodes):
                 self.tasks.append(task)
                 task.add_done_callback(lambda done: done.cancelled() or self.checker.fail(
                     "SOAK", "a client failed: %r" % done.exception()))
         self.spawn(self.checker.watch_lag())
         self.spawn(self.watch_processes())
+        if chosen.organisations:
+            self.spawn(self.watch_allowance())
         follow = asyncio.create_task(self.follow(plan))
         self.tasks.append(follow)
         await asyncio.wait([follow, self.checker.broken], return_when=asyncio.FIRST_COMPLETED)
@@ -161,6 +170,8 @@
             self.checker.broken.result()
         follow.result()
         end = time.monotonic()
+        if chosen.organisations:
+            self.say("at most %d requests of the organisation ran within a window" % self.checker.most_keyed)
         self.check_recovery(first, end - 5, end - 1)
 
     async def end(self):
--- a/unit_tests/command/node_process_test.cpp
+++ b/unit_tests/command/node_process_test.cpp
@@ -206,8 +206,8 @@
   BOOST_TEST(node.seen() > 0);
 }
 
-// A node that did not recognise itself counted itself as one more of the fleet, and took smaller shares of its
-// budgets.
+// A node that did not recognise itself counted itself as one more of the fleet, and took smaller shares of
+// its budgets.
 BOOST_AUTO_TEST_CASE(node_that_others_reach_at_another_address_is_not_its_own_peer) {
   served_node_options options;
   const std::string other = free_address();
