--- a/nutmegarch/node/node_settings.h
+++ b/nutmegarch/node/node_settings.h
@@ -122,9 +122,9 @@
 struct memory_shares {
   /// Memory that the process may take, in bytes; 0 if there is no limit.
   std::size_t limit_bytes = 0;
-  /// Part for callers: bodies that are being read, requests that run, answers that are not taken.
+  /// Part for callers: requests that are being read or run, answers that are not taken.
   double callers = 0.4;
-  /// Part for the bodies of calls at the target.
+  /// Part for the requests of calls at the target.
   double inbound = 0.2;
 };
 
